--- /dev/null
+++ b/src/flowagent/flowagentprocess.cpp
@@ -0,0 +1,106 @@
+#include "flowagent/flowagentprocess.h"
+
+#include <QCoreApplication>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "libbase/clock.h"
+#include "libbase/logger.h"
+#include "libnet/metricswriter.h"
+#include "libnet/systemrandom.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+/// Time for the notice of the stop to leave the instance, sent twice.
+constexpr std::chrono::milliseconds kNoticeTime{20};
+
+}  // namespace
+
+FlowAgentProcess::FlowAgentProcess(const FlowAgentSettings& settings,
+                                   const PacketCodec& codec,
+                                   const Clock& clock,
+                                   Logger* logger)
+    : m_settings(settings),
+      m_codec(codec),
+      m_clock(clock),
+      m_logger(logger),
+      m_report(logger),
+      m_signals([this] { BeginStop(); }) {}
+
+FlowAgentProcess::~FlowAgentProcess() {
+  m_admin.reset();
+  m_thread.Run([this] { m_worker.reset(); });
+}
+
+boost::leaf::result<void> FlowAgentProcess::Start() {
+  BOOST_LEAF_AUTO(node, UdpSocket::Bind(m_settings.node.node_address));
+  BOOST_LEAF_AUTO(outbound, UdpSocket::Bind(m_settings.outbound_address));
+  FlowKeeper::Settings keeper;
+  keeper.incarnation = Incarnation{DrawSeed()};
+  keeper.service = m_settings.service;
+  keeper.zone = m_settings.node.zone;
+  keeper.flow_lifetime = m_settings.node.flow_lifetime;
+  for (const SocketAddress& seed : m_settings.seeds) {
+    keeper.seeds.push_back({seed.ipv4, m_settings.balancer_port});
+  }
+  m_thread.Run([&] {
+    m_worker = std::make_unique<FlowAgentWorker>(
+        std::move(keeper), m_settings.upstream_address, std::move(node),
+        std::move(outbound), m_codec, m_clock, &m_report, &m_gauges);
+  });
+  BOOST_LEAF_ASSIGN(
+      m_admin, AdminEndpoint::Open(
+                   m_settings.node.admin_address,
+                   {[this] { return Metrics(); }, [this] { return State(); },
+                    [this](std::string* reason) {
+                      *reason = m_stopping ? "stopping" : "";
+                      return !m_stopping;
+                    }}));
+  m_logger->Write(LogLevel::kInfo, "started", "the agent has started");
+  return {};
+}
+
+void FlowAgentProcess::BeginStop() {
+  m_logger->Write(LogLevel::kInfo, "stopping",
+                  "balancers are told to keep the flows");
+  m_stopping = true;
+  m_thread.Post([this] { m_worker->BeginStop(); });
+  CallAfter(&m_tasks, kNoticeTime, [this] {
+    m_logger->Write(LogLevel::kInfo, "stopped", "the notice has been sent");
+    QCoreApplication::quit();
+  });
+}
+
+std::string FlowAgentProcess::Metrics() const {
+  MetricsWriter metrics;
+  metrics.Gauge("flows", "Flows of the upstream that this process knows",
+                static_cast<double>(m_gauges.flows));
+  metrics.Gauge("upstream_running",
+                "Requests that the upstream has not begun to answer",
+                static_cast<double>(m_gauges.running));
+  metrics.Gauge("agent_phase", "State of agent and upstream; always 1", 1,
+                {{"phase", ToString(m_gauges.phase)}});
+  metrics.Counter("node_messages_total", "Messages of balancers received",
+                  static_cast<double>(m_gauges.node_messages));
+  metrics.Counter("upstream_packets_total", "Packets of the upstream received",
+                  static_cast<double>(m_gauges.upstream_packets));
+  metrics.Counter("send_failures_total", "Datagrams that could not be sent",
+                  static_cast<double>(m_gauges.send_failures));
+  m_report.WriteMetrics(&metrics);
+  return metrics.Write();
+}
+
+std::string FlowAgentProcess::State() const {
+  nlohmann::ordered_json state;
+  state["instance"] = m_settings.node.instance;
+  state["zone"] = m_settings.node.zone;
+  state["service"] = m_settings.service;
+  state["phase"] = ToString(m_gauges.phase);
+  state["flows"] = m_gauges.flows.load();
+  state["running"] = m_gauges.running.load();
+  return state.dump(2) + "\n";
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/flowagent/flowagentprocess.h
@@ -0,0 +1,54 @@
+#ifndef FIREFLYTRESTLE_FLOWAGENT_FLOWAGENTPROCESS_H_
+#define FIREFLYTRESTLE_FLOWAGENT_FLOWAGENTPROCESS_H_
+
+#include <boost/leaf/result.hpp>
+#include <memory>
+#include <string>
+
+#include "flowagent/flowagentsettings.h"
+#include "flowagent/flowagentworker.h"
+#include "libnet/adminendpoint.h"
+#include "libnet/flowreport.h"
+#include "libnet/stopsignals.h"
+#include "libnet/taskqueue.h"
+#include "libnet/workerthread.h"
+
+namespace fireflytrestle {
+
+class Logger;
+class PacketCodec;
+
+/// \brief The agent for flows without an identity, beside one upstream.
+class FlowAgentProcess {
+ public:
+  /// All references must outlive the process.
+  FlowAgentProcess(const FlowAgentSettings& settings,
+                   const PacketCodec& codec,
+                   const Clock& clock,
+                   Logger* logger);
+  ~FlowAgentProcess();
+
+  boost::leaf::result<void> Start();
+
+ private:
+  void BeginStop();
+  std::string Metrics() const;
+  std::string State() const;
+
+  const FlowAgentSettings& m_settings;
+  const PacketCodec& m_codec;
+  const Clock& m_clock;
+  Logger* m_logger;
+  FlowReport m_report;
+  FlowAgentWorker::Gauges m_gauges;
+  TaskQueue m_tasks;
+  WorkerThread m_thread;
+  std::unique_ptr<FlowAgentWorker> m_worker;
+  std::unique_ptr<AdminEndpoint> m_admin;
+  bool m_stopping = false;
+  StopSignals m_signals;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_FLOWAGENT_FLOWAGENTPROCESS_H_
--- /dev/null
+++ b/src/flowagent/flowagentworker.cpp
@@ -0,0 +1,108 @@
+#include "flowagent/flowagentworker.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "libbase/clock.h"
+#include "libflow/nodemessagecodec.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{50};
+/// Batches of one socket before the other one gets its turn.
+constexpr int kBatchesPerTurn = 16;
+
+}  // namespace
+
+FlowAgentWorker::FlowAgentWorker(FlowKeeper::Settings settings,
+                                 const SocketAddress& upstream,
+                                 std::unique_ptr<UdpSocket> node,
+                                 std::unique_ptr<UdpSocket> outbound,
+                                 const PacketCodec& codec,
+                                 const Clock& clock,
+                                 FlowReport* report,
+                                 Gauges* gauges)
+    : m_node(std::move(node)),
+      m_outbound(std::move(outbound)),
+      m_clock(clock),
+      m_gauges(gauges),
+      m_output(m_node.get(),
+               m_outbound.get(),
+               {m_node->address().port, upstream},
+               codec,
+               report),
+      m_keeper(std::move(settings), codec, &m_output, clock.Now()),
+      m_node_notifier(m_node->descriptor(), QSocketNotifier::Read),
+      m_outbound_notifier(m_outbound->descriptor(), QSocketNotifier::Read) {
+  QObject::connect(&m_node_notifier, &QSocketNotifier::activated,
+                   &m_node_notifier, [this] { OnNode(); });
+  QObject::connect(&m_outbound_notifier, &QSocketNotifier::activated,
+                   &m_outbound_notifier, [this] { OnOutbound(); });
+  QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] { Tick(); });
+  m_timer.setTimerType(Qt::PreciseTimer);
+  m_timer.start(kTickInterval);
+}
+
+void FlowAgentWorker::BeginStop() {
+  m_keeper.BeginStop(m_clock.Now());
+  m_output.Flush();
+}
+
+void FlowAgentWorker::OnUpstreamDown() {
+  m_keeper.OnUpstreamDown(m_clock.Now());
+  m_output.Flush();
+}
+
+void FlowAgentWorker::OnUpstreamUp() {
+  m_keeper.OnUpstreamUp(m_clock.Now());
+  m_output.Flush();
+}
+
+void FlowAgentWorker::OnNode() {
+  const TimePoint now = m_clock.Now();
+  const UdpSocket::Handler handler =
+      [&](const SocketAddress& source, std::span<const std::uint8_t> datagram) {
+        if (const auto message = DecodeNodeMessage(datagram)) {
+          m_keeper.OnNodeMessage(source, *message, now);
+        }
+      };
+  std::size_t received = UdpSocket::kBatch;
+  for (int i = 0; i < kBatchesPerTurn && received == UdpSocket::kBatch; ++i) {
+    received = m_node->Receive(handler);
+    m_gauges->node_messages += received;
+    m_output.Flush();
+  }
+}
+
+void FlowAgentWorker::OnOutbound() {
+  const TimePoint now = m_clock.Now();
+  const UdpSocket::Handler handler =
+      [&](const SocketAddress& /*source*/,
+          std::span<const std::uint8_t> datagram) {
+        // The decisions make a packet that was handed back ready in place.
+        std::array<std::uint8_t, UdpSocket::kMaxBytes> copy;
+        std::copy(datagram.begin(), datagram.end(), copy.begin());
+        m_keeper.OnUpstreamPacket(std::span(copy.data(), datagram.size()), now);
+      };
+  std::size_t received = UdpSocket::kBatch;
+  for (int i = 0; i < kBatchesPerTurn && received == UdpSocket::kBatch; ++i) {
+    received = m_outbound->Receive(handler);
+    m_gauges->upstream_packets += received;
+    m_output.Flush();
+  }
+}
+
+void FlowAgentWorker::Tick() {
+  m_keeper.OnTick(m_clock.Now());
+  m_output.Flush();
+  m_gauges->flows = m_keeper.flow_count();
+  m_gauges->running = m_keeper.running();
+  m_gauges->phase = m_keeper.phase();
+  m_gauges->send_failures =
+      m_node->send_failures() + m_outbound->send_failures();
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/flowagent/flowagentworker.h
@@ -0,0 +1,65 @@
+#ifndef FIREFLYTRESTLE_FLOWAGENT_FLOWAGENTWORKER_H_
+#define FIREFLYTRESTLE_FLOWAGENT_FLOWAGENTWORKER_H_
+
+#include <QSocketNotifier>
+#include <QTimer>
+#include <atomic>
+#include <functional>
+#include <memory>
+
+#include "libflow/flowkeeper.h"
+#include "libnet/flowsockets.h"
+#include "libnet/udpsocket.h"
+
+namespace fireflytrestle {
+
+class Clock;
+
+/// \brief Carries packets between balancers, callers and the upstream on the
+/// traffic thread: sockets around a FlowKeeper.
+class FlowAgentWorker {
+ public:
+  /// Figures that other threads may read.
+  struct Gauges {
+    std::atomic<std::uint64_t> flows{0};
+    std::atomic<std::uint64_t> running{0};
+    std::atomic<std::uint64_t> node_messages{0};
+    std::atomic<std::uint64_t> upstream_packets{0};
+    std::atomic<std::uint64_t> send_failures{0};
+    std::atomic<AgentPhase> phase{AgentPhase::kServing};
+  };
+
+  /// All references must outlive the worker.
+  FlowAgentWorker(FlowKeeper::Settings settings,
+                  const SocketAddress& upstream,
+                  std::unique_ptr<UdpSocket> node,
+                  std::unique_ptr<UdpSocket> outbound,
+                  const PacketCodec& codec,
+                  const Clock& clock,
+                  FlowReport* report,
+                  Gauges* gauges);
+
+  /// Tells the balancers that the agent is about to stop.
+  void BeginStop();
+  void OnUpstreamDown();
+  void OnUpstreamUp();
+
+ private:
+  void OnNode();
+  void OnOutbound();
+  void Tick();
+
+  std::unique_ptr<UdpSocket> m_node;
+  std::unique_ptr<UdpSocket> m_outbound;
+  const Clock& m_clock;
+  Gauges* m_gauges;
+  FlowSockets m_output;
+  FlowKeeper m_keeper;
+  QSocketNotifier m_node_notifier;
+  QSocketNotifier m_outbound_notifier;
+  QTimer m_timer;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_FLOWAGENT_FLOWAGENTWORKER_H_
--- /dev/null
+++ b/src/flowagent/main.cpp
@@ -0,0 +1,33 @@
+#include <QCoreApplication>
+
+#include "flowagent/flowagentprocess.h"
+#include "flowagent/flowagentsettings.h"
+#include "libbase/logger.h"
+#include "libbase/settingsreader.h"
+#include "libbase/steadyclock.h"
+#include "libnet/flowlogging.h"
+#include "libnet/programrunner.h"
+#include "platform/packetlayout.h"
+
+int main(int argc, char** argv) {
+  using namespace fireflytrestle;
+  FlowAgentSettings settings;
+  const SettingsReader reader("fireflytrestle-flowagent",
+                              FIREFLYTRESTLE_VERSION,
+                              MakeFlowAgentSettingsTable(&settings));
+  if (const auto exit_code = reader.ReadOrExitCode(argc, argv)) {
+    return *exit_code;
+  }
+  const SteadyClock clock;
+  Logger logger({"flowagent", settings.node.instance, settings.node.zone},
+                Logger::NonBlockingOutput(settings.node.log_level), clock,
+                kFlowLogLimit);
+  const QCoreApplication application(argc, argv);
+  return RunProgram(&logger, [&]() -> boost::leaf::result<void> {
+    const PacketLayout codec;
+    FlowAgentProcess process(settings, codec, clock, &logger);
+    BOOST_LEAF_CHECK(process.Start());
+    QCoreApplication::exec();
+    return {};
+  });
+}
--- /dev/null
+++ b/src/flowbalancer/flowbalancerprocess.cpp
@@ -0,0 +1,141 @@
+#include "flowbalancer/flowbalancerprocess.h"
+
+#include <QCoreApplication>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "libbase/clock.h"
+#include "libbase/logger.h"
+#include "libnet/metricswriter.h"
+#include "libnet/systemrandom.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The routers take an instance out after two misses of a check every 500 ms.
+constexpr milliseconds kLeastDrain{1200};
+/// No packet for this long means that the routers send no more.
+constexpr milliseconds kQuiet{300};
+/// The platform kills the process 6 s after the signal.
+constexpr milliseconds kMostDrain{5000};
+constexpr milliseconds kDrainCheck{50};
+
+}  // namespace
+
+FlowBalancerProcess::FlowBalancerProcess(const FlowBalancerSettings& settings,
+                                         const Platform& platform,
+                                         const Clock& clock,
+                                         Logger* logger)
+    : m_settings(settings),
+      m_platform(platform),
+      m_clock(clock),
+      m_logger(logger),
+      m_report(logger),
+      m_reader(platform.prefixes,
+               platform.store,
+               *platform.decoder,
+               clock,
+               logger,
+               [this](std::shared_ptr<const SiteView> view) {
+                 m_thread.Post([this, view = std::move(view)] {
+                   m_worker->InstallView(view);
+                 });
+               }),
+      m_signals([this] { BeginStop(); }) {}
+
+FlowBalancerProcess::~FlowBalancerProcess() {
+  m_admin.reset();
+  m_thread.Run([this] { m_worker.reset(); });
+}
+
+boost::leaf::result<void> FlowBalancerProcess::Start() {
+  BOOST_LEAF_AUTO(frontend, UdpSocket::Bind(m_settings.frontend_address));
+  BOOST_LEAF_AUTO(node, UdpSocket::Bind(m_settings.node.node_address));
+  FlowRouter::Settings router;
+  router.incarnation = Incarnation{DrawSeed()};
+  router.zone = m_settings.node.zone;
+  router.agent_port = m_settings.frontend_address.port;
+  router.flow_lifetime = m_settings.node.flow_lifetime;
+  m_thread.Run([&] {
+    m_worker = std::make_unique<FlowBalancerWorker>(
+        std::move(router), std::move(frontend), std::move(node),
+        *m_platform.codec, m_clock, &m_report, &m_gauges);
+  });
+  m_reader.Start();
+  BOOST_LEAF_ASSIGN(m_admin, AdminEndpoint::Open(m_settings.node.admin_address,
+                                                 {[this] { return Metrics(); },
+                                                  [this] { return State(); },
+                                                  [this](std::string* reason) {
+                                                    *reason = "";
+                                                    return IsReady(reason);
+                                                  }}));
+  m_logger->Write(LogLevel::kInfo, "started", "the balancer has started");
+  return {};
+}
+
+bool FlowBalancerProcess::IsReady(std::string* reason) const {
+  if (m_stopping) {
+    *reason = "stopping";
+  } else if (!m_reader.has_configuration()) {
+    *reason = "no configuration";
+  } else if (!m_gauges.serving) {
+    *reason = "no agent has reported";
+  }
+  return reason->empty();
+}
+
+void FlowBalancerProcess::BeginStop() {
+  m_logger->Write(LogLevel::kInfo, "stopping",
+                  "packets are forwarded until none arrives");
+  m_stopping = true;
+  m_stop_began = m_clock.Now();
+  QObject::connect(&m_stop_timer, &QTimer::timeout, &m_stop_timer,
+                   [this] { CheckStopped(); });
+  m_stop_timer.start(kDrainCheck);
+}
+
+void FlowBalancerProcess::CheckStopped() {
+  const TimePoint now = m_clock.Now();
+  const TimePoint last{milliseconds(m_gauges.last_caller_packet_ms)};
+  const bool quiet = now - last >= kQuiet && now - m_stop_began >= kLeastDrain;
+  if (quiet || now - m_stop_began >= kMostDrain) {
+    m_logger->Write(LogLevel::kInfo, "stopped",
+                    quiet ? "no packet arrives any more"
+                          : "packets still arrive at the end of the grace");
+    QCoreApplication::quit();
+  }
+}
+
+std::string FlowBalancerProcess::Metrics() const {
+  MetricsWriter metrics;
+  metrics.Gauge("flows", "Flows that this process knows",
+                static_cast<double>(m_gauges.flows));
+  metrics.Gauge("agents", "Agents that this process knows",
+                static_cast<double>(m_gauges.agents));
+  metrics.Counter("caller_packets_total", "Packets of callers received",
+                  static_cast<double>(m_gauges.caller_packets));
+  metrics.Counter("node_messages_total", "Messages of agents received",
+                  static_cast<double>(m_gauges.node_messages));
+  metrics.Counter("send_failures_total", "Datagrams that could not be sent",
+                  static_cast<double>(m_gauges.send_failures));
+  m_reader.WriteMetrics(&metrics);
+  m_report.WriteMetrics(&metrics);
+  return metrics.Write();
+}
+
+std::string FlowBalancerProcess::State() const {
+  std::string reason;
+  nlohmann::ordered_json state;
+  state["instance"] = m_settings.node.instance;
+  state["zone"] = m_settings.node.zone;
+  state["ready"] = IsReady(&reason);
+  state["reason"] = reason;
+  state["flows"] = m_gauges.flows.load();
+  state["agents"] = m_gauges.agents.load();
+  return state.dump(2) + "\n";
+}
+
+}  // namespace fireflytrestle
--- a/src/libagent/admissioncontrol.h
+++ b/src/libagent/admissioncontrol.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 
-#include "libagent/ratewindow.h"
+#include "libbase/ratewindow.h"
 #include "libconfig/configuration.h"
 
 namespace fireflytrestle {
--- a/src/libbase/logfield.h
+++ b/src/libbase/logfield.h
@@ -12,12 +12,17 @@
 enum class LogKey {
   kDocument,
   kError,
+  kFlow,
   kPeer,
   kReason,
   kRemedy,
+  kReportAgeMs,
   kRevision,
+  kRunning,
+  kService,
   kSource,
   kState,
+  kVersion,
 };
 
 const char* ToString(LogKey key);
--- a/src/libbase/logger.cpp
+++ b/src/libbase/logger.cpp
@@ -2,19 +2,18 @@
 
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "libbase/nonblockingsink.h"
 #include "libbase/timeformat.h"
 
 namespace fireflytrestle {
 
 namespace {
 
-constexpr double kLinesPerSecond = 1.0;
-constexpr double kLineBurst = 10.0;
-
 spdlog::level::level_enum ToSpdlog(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -51,28 +50,40 @@
       return "document";
     case LogKey::kError:
       return "error";
+    case LogKey::kFlow:
+      return "flow";
     case LogKey::kPeer:
       return "peer";
     case LogKey::kReason:
       return "reason";
     case LogKey::kRemedy:
       return "remedy";
+    case LogKey::kReportAgeMs:
+      return "report_age_ms";
     case LogKey::kRevision:
       return "revision";
+    case LogKey::kRunning:
+      return "running";
+    case LogKey::kService:
+      return "service";
     case LogKey::kSource:
       return "source";
     case LogKey::kState:
       return "state";
+    case LogKey::kVersion:
+      return "version";
   }
   return "unknown";
 }
 
 Logger::Logger(LogIdentity identity,
                std::shared_ptr<spdlog::logger> output,
-               const Clock& clock)
+               const Clock& clock,
+               LogLimit limit)
     : m_identity(std::move(identity)),
       m_output(std::move(output)),
-      m_clock(clock) {}
+      m_clock(clock),
+      m_limit(limit) {}
 
 Logger::~Logger() = default;
 
@@ -85,13 +96,22 @@
   return output;
 }
 
+std::shared_ptr<spdlog::logger> Logger::NonBlockingOutput(
+    const std::string& level) {
+  auto output = std::make_shared<spdlog::logger>(
+      "fireflytrestle", std::make_shared<NonBlockingSink>(STDOUT_FILENO));
+  output->set_pattern("%v");
+  output->set_level(spdlog::level::from_str(level));
+  return output;
+}
+
 std::pair<bool, std::uint64_t> Logger::Admit(const std::string& event) {
   const TimePoint now = m_clock.Now();
   const std::scoped_lock lock(m_mutex);
   Limit& limit =
       m_limits
-          .try_emplace(event,
-                       Limit{TokenBucket(kLinesPerSecond, kLineBurst, now)})
+          .try_emplace(event, Limit{TokenBucket(m_limit.lines_per_second,
+                                                m_limit.burst, now)})
           .first->second;
   if (!limit.bucket.TryTake(now)) {
     ++limit.suppressed;
--- a/src/libbase/logger.h
+++ b/src/libbase/logger.h
@@ -27,18 +27,25 @@
   std::string zone;
 };
 
+/// \brief Lines of one event that may be written.
+struct LogLimit {
+  double lines_per_second = 1.0;
+  double burst = 10.0;
+};
+
 /// \brief Writes log lines, each a JSON object: time, level, program, instance,
 /// zone, event, message and further fields of LogKey.
 ///
-/// Lines of one event are limited to a burst of 10 and then one a second; the
-/// next line written carries the number of lines left out in "suppressed". May
-/// be used by all threads.
+/// Lines of one event are limited to a burst of 10 and then one a second by
+/// default; the next line written carries the number of lines left out in
+/// "suppressed". May be used by all threads.
 class Logger {
  public:
   /// Writes to \p output, which must write each line unchanged.
   Logger(LogIdentity identity,
          std::shared_ptr<spdlog::logger> output,
-         const Clock& clock);
+         const Clock& clock,
+         LogLimit limit = {});
   ~Logger();
 
   /// Returns the output for programs: standard error. \p level is one of debug,
@@ -46,6 +53,11 @@
   static std::shared_ptr<spdlog::logger> StandardOutput(
       const std::string& level);
 
+  /// Returns an output to standard output that drops lines, and counts them,
+  /// while nobody reads it.
+  static std::shared_ptr<spdlog::logger> NonBlockingOutput(
+      const std::string& level);
+
   /// \p event names the kind of line, such as "link_closed"; it must be a
   /// literal.
   void Write(LogLevel level,
@@ -66,6 +78,7 @@
   LogIdentity m_identity;
   std::shared_ptr<spdlog::logger> m_output;
   const Clock& m_clock;
+  LogLimit m_limit;
   std::mutex m_mutex;
   std::map<std::string, Limit> m_limits;
 };
--- a/src/libagent/ratewindow.cpp
+++ b/src/libbase/ratewindow.cpp
@@ -1,4 +1,4 @@
-#include "libagent/ratewindow.h"
+#include "libbase/ratewindow.h"
 
 namespace fireflytrestle {
 
--- a/src/libagent/ratewindow.h
+++ b/src/libbase/ratewindow.h
@@ -1,5 +1,5 @@
-#ifndef FIREFLYTRESTLE_LIBAGENT_RATEWINDOW_H_
-#define FIREFLYTRESTLE_LIBAGENT_RATEWINDOW_H_
+#ifndef FIREFLYTRESTLE_LIBBASE_RATEWINDOW_H_
+#define FIREFLYTRESTLE_LIBBASE_RATEWINDOW_H_
 
 #include <cstdint>
 #include <deque>
@@ -28,4 +28,4 @@
 
 }  // namespace fireflytrestle
 
-#endif  // FIREFLYTRESTLE_LIBAGENT_RATEWINDOW_H_
+#endif  // FIREFLYTRESTLE_LIBBASE_RATEWINDOW_H_
--- /dev/null
+++ b/src/libflow/agentpeer.cpp
@@ -0,0 +1,117 @@
+#include "libflow/agentpeer.h"
+
+#include <algorithm>
+
+#include "libsite/siteview.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// An upstream that handed a SYN back gets no further ones for this long: the
+/// time of a few requests, after which a slot is free again.
+constexpr milliseconds kHoldOff{100};
+/// One that said it takes no new flows at all: until the next reports and the
+/// view agree.
+constexpr milliseconds kLongHoldOff{500};
+/// Work of a request on a cold upstream compared with a warm one, as the users
+/// describe their upstreams.
+constexpr double kColdWork = 1.6;
+/// Share of the open long flows of an upstream that have a request running at
+/// one moment, as weight against requests that are known to run.
+constexpr double kLongFlowWeight = 0.05;
+constexpr double kMilli = 1000.0;
+
+}  // namespace
+
+void AgentPeer::OnView(const UpstreamEntry* entry, const SiteView& view) {
+  m_listed = entry != nullptr;
+  if (entry == nullptr) {
+    return;
+  }
+  m_service = entry->service;
+  m_zone = entry->zone;
+  m_draining = entry->draining;
+  m_missing = entry->missing_since.has_value();
+  m_zone_out = view.zones_out.contains(entry->zone);
+  m_slots = std::max<std::uint32_t>(entry->slots, 1);
+  m_entry_revision = entry->revision;
+  m_cold_until = entry->learned + entry->cold_left;
+  const auto limits = view.services.find(entry->service);
+  m_cold_rate_milli =
+      limits == view.services.end()
+          ? 0
+          : static_cast<std::uint32_t>(limits->second.cold_rate * kMilli);
+}
+
+void AgentPeer::OnStatus(const AgentStatus& status, TimePoint now) {
+  m_heard = now;
+  m_incarnation = status.incarnation;
+  m_phase = status.phase;
+  m_running = status.running;
+  m_flows = status.flows;
+  m_long_flows = status.long_flows;
+  m_placed_short = 0;
+  m_placed_long = 0;
+  if (!m_listed) {
+    m_service = status.service;
+    m_zone = status.zone;
+  }
+}
+
+void AgentPeer::OnPlaced(bool long_lived) {
+  ++(long_lived ? m_placed_long : m_placed_short);
+}
+
+void AgentPeer::OnReturned(ReturnReason reason, TimePoint now) {
+  const bool full = reason == ReturnReason::kUpstreamFull ||
+                    reason == ReturnReason::kUpstreamCold;
+  m_held_off_until = now + (full ? kHoldOff : kLongHoldOff);
+}
+
+bool AgentPeer::IsCandidate() const {
+  return m_listed && !m_draining && !m_zone_out &&
+         m_phase == AgentPhase::kServing;
+}
+
+bool AgentPeer::IsPreferred(TimePoint now) const {
+  return IsCandidate() && !m_silent && !m_missing && m_heard &&
+         now >= m_held_off_until;
+}
+
+double AgentPeer::Load(bool long_lived, TimePoint now) const {
+  const double slots = m_slots;
+  const double work = now < m_cold_until ? kColdWork : 1.0;
+  const double running = m_running + m_placed_short + m_placed_long;
+  const double flows = m_long_flows + m_placed_long;
+  if (long_lived) {
+    return work * (flows + kLongFlowWeight * running) / slots;
+  }
+  return work * (running + kLongFlowWeight * flows) / slots;
+}
+
+BalancerHeartbeat AgentPeer::MakeHeartbeat(Incarnation balancer,
+                                           TimePoint now) const {
+  BalancerHeartbeat heartbeat;
+  heartbeat.incarnation = balancer;
+  if (!m_listed) {
+    return heartbeat;
+  }
+  heartbeat.entry_revision = m_entry_revision;
+  heartbeat.draining = m_draining;
+  heartbeat.zone_out = m_zone_out;
+  heartbeat.cold_left = std::max(
+      duration_cast<milliseconds>(m_cold_until - now), milliseconds(0));
+  heartbeat.cold_rate_milli = m_cold_rate_milli;
+  return heartbeat;
+}
+
+milliseconds AgentPeer::report_age(TimePoint now) const {
+  return m_heard ? duration_cast<milliseconds>(now - *m_heard)
+                 : milliseconds::max();
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/libflow/agentselector.cpp
@@ -0,0 +1,69 @@
+#include "libflow/agentselector.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+#include "libsite/routesettings.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+/// Load that the way to another zone and back outweighs: about a tenth of one
+/// request's work.
+constexpr double kOtherZoneLoad = 0.1;
+
+bool Contains(std::span<const AgentPeerPtr> agents, const AgentPeerPtr& agent) {
+  return std::find(agents.begin(), agents.end(), agent) != agents.end();
+}
+
+}  // namespace
+
+const std::string* SelectService(const RouteSettings& route,
+                                 const FlowTuple& tuple) {
+  std::uint64_t total = 0;
+  for (const WeightedService& each : route.services) {
+    total += each.weight;
+  }
+  if (total == 0) {
+    return nullptr;
+  }
+  std::uint64_t point = (MixTuple(tuple) >> 8U) % total;
+  for (const WeightedService& each : route.services) {
+    if (point < each.weight) {
+      return &each.service;
+    }
+    point -= each.weight;
+  }
+  return nullptr;
+}
+
+AgentPeerPtr SelectAgent(const std::vector<AgentPeerPtr>& agents,
+                         const FlowTuple& tuple,
+                         bool long_lived,
+                         std::span<const AgentPeerPtr> tried,
+                         const std::string& own_zone,
+                         TimePoint now) {
+  const AgentPeerPtr* best = nullptr;
+  auto best_rank = std::make_tuple(true, std::numeric_limits<double>::max(),
+                                   std::numeric_limits<std::uint64_t>::max());
+  for (const AgentPeerPtr& agent : agents) {
+    if (!agent->IsCandidate() || Contains(tried, agent)) {
+      continue;
+    }
+    const double load = agent->Load(long_lived, now) +
+                        (agent->zone() == own_zone ? 0.0 : kOtherZoneLoad);
+    FlowTuple mixed = tuple;
+    mixed.route = agent->address();
+    const auto rank =
+        std::make_tuple(!agent->IsPreferred(now), load, MixTuple(mixed));
+    if (best == nullptr || rank < best_rank) {
+      best = &agent;
+      best_rank = rank;
+    }
+  }
+  return best == nullptr ? nullptr : *best;
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/libflow/agentselector.h
@@ -0,0 +1,31 @@
+#ifndef FIREFLYTRESTLE_LIBFLOW_AGENTSELECTOR_H_
+#define FIREFLYTRESTLE_LIBFLOW_AGENTSELECTOR_H_
+
+#include <span>
+#include <string>
+
+#include "libflow/agenttable.h"
+#include "libflow/flowtuple.h"
+
+namespace fireflytrestle {
+
+struct RouteSettings;
+
+/// Returns the service of \p route for the flow; the same for every packet of
+/// it. Null for a route without services.
+const std::string* SelectService(const RouteSettings& route,
+                                 const FlowTuple& tuple);
+
+/// Returns the agent for a new flow: the least loaded of the preferred ones
+/// that were not \p tried, else any candidate, else null. Among equally loaded
+/// ones an agent of \p own_zone wins, then the flow's hash decides.
+AgentPeerPtr SelectAgent(const std::vector<AgentPeerPtr>& agents,
+                         const FlowTuple& tuple,
+                         bool long_lived,
+                         std::span<const AgentPeerPtr> tried,
+                         const std::string& own_zone,
+                         TimePoint now);
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBFLOW_AGENTSELECTOR_H_
--- /dev/null
+++ b/src/libflow/agenttable.cpp
@@ -0,0 +1,81 @@
+#include "libflow/agenttable.h"
+
+#include <algorithm>
+
+namespace fireflytrestle {
+
+namespace {
+
+/// An agent without an entry may still hold flows, which live up to a minute.
+constexpr std::chrono::seconds kForgetAfter{60};
+
+}  // namespace
+
+void AgentTable::Install(const SiteView& view, TimePoint now) {
+  for (auto& [address, agent] : m_agents) {
+    if (!view.upstreams.contains(address.ipv4)) {
+      agent->OnView(nullptr, view);
+    }
+  }
+  for (const auto& [ipv4, entry] : view.upstreams) {
+    const SocketAddress address{ipv4, m_agent_port};
+    AgentPeerPtr& agent = m_agents[address];
+    if (!agent) {
+      agent = std::make_shared<AgentPeer>(address);
+    }
+    agent->OnView(&entry, view);
+  }
+  Prune(now);
+  Index();
+}
+
+AgentPeerPtr AgentTable::OnStatus(const SocketAddress& address,
+                                  const AgentStatus& status,
+                                  TimePoint now) {
+  AgentPeerPtr& agent = m_agents[address];
+  const bool added = !agent;
+  if (added) {
+    agent = std::make_shared<AgentPeer>(address);
+  }
+  agent->OnStatus(status, now);
+  AgentPeerPtr found = agent;
+  if (added) {
+    Index();
+  }
+  return found;
+}
+
+void AgentTable::Prune(TimePoint now) {
+  std::erase_if(m_agents, [&](const auto& item) {
+    const AgentPeer& agent = *item.second;
+    return !agent.listed() &&
+           (!agent.heard() || now - *agent.heard() > kForgetAfter);
+  });
+}
+
+AgentPeerPtr AgentTable::Find(const SocketAddress& address) const {
+  const auto position = m_agents.find(address);
+  return position == m_agents.end() ? nullptr : position->second;
+}
+
+const std::vector<AgentPeerPtr>& AgentTable::OfService(
+    const std::string& service) const {
+  static const std::vector<AgentPeerPtr> kNone;
+  const auto position = m_by_service.find(service);
+  return position == m_by_service.end() ? kNone : position->second;
+}
+
+void AgentTable::Index() {
+  m_by_service.clear();
+  for (const auto& [address, agent] : m_agents) {
+    m_by_service[agent->service()].push_back(agent);
+  }
+  for (auto& [service, agents] : m_by_service) {
+    std::sort(agents.begin(), agents.end(),
+              [](const AgentPeerPtr& a, const AgentPeerPtr& b) {
+                return a->address() < b->address();
+              });
+  }
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/libflow/agenttable.h
@@ -0,0 +1,54 @@
+#ifndef FIREFLYTRESTLE_LIBFLOW_AGENTTABLE_H_
+#define FIREFLYTRESTLE_LIBFLOW_AGENTTABLE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libflow/agentpeer.h"
+#include "libsite/siteview.h"
+
+namespace fireflytrestle {
+
+using AgentPeerPtr = std::shared_ptr<AgentPeer>;
+
+/// \brief The agents that a balancer knows, by address and by service.
+class AgentTable {
+ public:
+  /// \p agent_port is the port of every agent.
+  explicit AgentTable(std::uint16_t agent_port) : m_agent_port(agent_port) {}
+
+  void Install(const SiteView& view, TimePoint now);
+
+  /// Takes the report of an agent, which need not be listed.
+  AgentPeerPtr OnStatus(const SocketAddress& address,
+                        const AgentStatus& status,
+                        TimePoint now);
+
+  /// Forgets agents that are neither listed nor heard of.
+  void Prune(TimePoint now);
+
+  /// Returns null for an unknown agent.
+  AgentPeerPtr Find(const SocketAddress& address) const;
+
+  /// Agents of a service, empty for an unknown one.
+  const std::vector<AgentPeerPtr>& OfService(const std::string& service) const;
+
+  const std::unordered_map<SocketAddress, AgentPeerPtr, SocketAddressHash>&
+  all() const {
+    return m_agents;
+  }
+
+ private:
+  void Index();
+
+  std::uint16_t m_agent_port;
+  std::unordered_map<SocketAddress, AgentPeerPtr, SocketAddressHash> m_agents;
+  std::unordered_map<std::string, std::vector<AgentPeerPtr>> m_by_service;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBFLOW_AGENTTABLE_H_
--- /dev/null
+++ b/src/libflow/flowdirectory.cpp
@@ -0,0 +1,23 @@
+#include "libflow/flowdirectory.h"
+
+namespace fireflytrestle {
+
+FlowEntry* FlowDirectory::Find(const FlowTuple& tuple) {
+  const auto position = m_flows.find(tuple);
+  return position == m_flows.end() ? nullptr : &position->second;
+}
+
+FlowEntry* FlowDirectory::Add(const FlowTuple& tuple) {
+  if (m_flows.size() >= kMaxFlows && !m_flows.contains(tuple)) {
+    return nullptr;
+  }
+  return &m_flows[tuple];
+}
+
+void FlowDirectory::EraseIdle(TimePoint before) {
+  std::erase_if(m_flows, [&](const auto& item) {
+    return item.second.last_packet < before;
+  });
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/libflow/flowkeeper.cpp
@@ -0,0 +1,405 @@
+#include "libflow/flowkeeper.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "libflow/flowoutput.h"
+#include "libflow/flowpacket.h"
+#include "libflow/nodemessagecodec.h"
+#include "libflow/packetcodec.h"
+#include "libflow/silencejudge.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Kind = FlowDecision::Kind;
+using State = UpstreamFlow::State;
+
+constexpr milliseconds kSweepInterval{1000};
+/// A balancer without a heartbeat for this long is gone; four are sent a
+/// second.
+constexpr milliseconds kBalancerTimeout{2000};
+/// Time for the last packets of a flow that is closing or was never confirmed.
+constexpr milliseconds kClosingTime{3000};
+
+/// Whether sequence number \p a follows \p b.
+bool IsAfter(std::uint32_t a, std::uint32_t b) {
+  return static_cast<std::int32_t>(a - b) > 0;
+}
+
+}  // namespace
+
+FlowKeeper::FlowKeeper(Settings settings,
+                       const PacketCodec& codec,
+                       FlowOutput* output,
+                       TimePoint now)
+    : m_settings(std::move(settings)),
+      m_codec(codec),
+      m_output(output),
+      m_cold(now),
+      m_next_status(now),
+      m_next_sweep(now + kSweepInterval) {}
+
+void FlowKeeper::OnNodeMessage(const SocketAddress& source,
+                               const NodeMessage& message,
+                               TimePoint now) {
+  if (const auto* deliver = std::get_if<DeliverMessage>(&message)) {
+    On(source, *deliver, now);
+  } else if (const auto* beat = std::get_if<BalancerHeartbeat>(&message)) {
+    On(source, *beat, now);
+  } else {
+    Report(Kind::kDropped, {}, source, "unexpected_message");
+  }
+}
+
+void FlowKeeper::On(const SocketAddress& source,
+                    const DeliverMessage& message,
+                    TimePoint now) {
+  const std::optional<FlowPacket> packet = m_codec.Decode(message.packet);
+  if (!packet || (packet->syn && packet->ack)) {
+    Report(Kind::kDropped, {}, source, "malformed");
+    return;
+  }
+  const FlowTuple tuple{packet->source, packet->destination};
+  if (message.service != m_settings.service) {
+    Return(source, ReturnReason::kWrongService, tuple, message.search,
+           message.packet);
+    return;
+  }
+  if (packet->IsOpening()) {
+    OnOpening(source, message, *packet, tuple, now);
+  } else {
+    OnFlowPacket(source, message, *packet, tuple, now);
+  }
+}
+
+void FlowKeeper::OnOpening(const SocketAddress& source,
+                           const DeliverMessage& message,
+                           const FlowPacket& packet,
+                           const FlowTuple& tuple,
+                           TimePoint now) {
+  const auto known = m_flows.find(tuple);
+  const bool copy = known != m_flows.end() &&
+                    known->second.syn_sequence == packet.sequence &&
+                    known->second.state != State::kUnconfirmed;
+  if (!copy) {
+    const ReturnReason refusal = Refusal(now);
+    if (refusal != ReturnReason::kCount) {
+      Return(source, refusal, tuple, false, message.packet);
+      return;
+    }
+    if (!m_cold.TryAdmit(now)) {
+      Return(source, ReturnReason::kUpstreamCold, tuple, false, message.packet);
+      return;
+    }
+    UpstreamFlow& flow = m_flows[tuple];
+    flow = {};
+    flow.syn_sequence = packet.sequence;
+    flow.data_sequence = packet.sequence;
+    flow.long_lived = message.long_lived;
+    Report(Kind::kPlaced, tuple, source, "to_upstream");
+  }
+  UpstreamFlow& flow = m_flows[tuple];
+  flow.balancer = source;
+  flow.last_packet = now;
+  m_output->SendToUpstream(message.packet);
+}
+
+void FlowKeeper::OnFlowPacket(const SocketAddress& source,
+                              const DeliverMessage& message,
+                              const FlowPacket& packet,
+                              const FlowTuple& tuple,
+                              TimePoint now) {
+  if (m_phase == AgentPhase::kUpstreamDown) {
+    Return(source, ReturnReason::kFlowUnknown, tuple, message.search,
+           message.packet);
+    return;
+  }
+  const auto [position, added] = m_flows.try_emplace(tuple);
+  UpstreamFlow& flow = position->second;
+  if (added) {
+    flow.state = State::kUnconfirmed;
+    flow.long_lived = message.long_lived;
+    flow.data_sequence = packet.sequence - 1;
+  }
+  if (flow.state == State::kOpening && !packet.reset) {
+    // The caller opens the flow at the upstream whose number it acknowledges.
+    const std::uint32_t ahead = packet.acknowledgment - flow.upstream_sequence;
+    if (!flow.answered || ahead > 1) {
+      m_flows.erase(position);
+      Return(source, ReturnReason::kFlowUnknown, tuple, message.search,
+             message.packet);
+      return;
+    }
+    Confirm(tuple, &flow);
+  } else if (flow.state == State::kOpen && flow.balancer != source) {
+    // The flow has moved to another balancer; one that asks hears at once.
+    Confirm(tuple, &flow);
+    if (message.search) {
+      m_next_status = now;
+    }
+  }
+  flow.balancer = source;
+  flow.last_packet = now;
+  flow.acknowledgment = packet.acknowledgment;
+  if (packet.data_bytes > 0 &&
+      IsAfter(packet.sequence + packet.data_bytes, flow.data_sequence)) {
+    flow.data_sequence = packet.sequence + packet.data_bytes;
+    flow.running = true;
+  }
+  if (packet.fin || packet.reset) {
+    flow.state = State::kClosing;
+    flow.running = false;
+  }
+  m_output->SendToUpstream(message.packet);
+}
+
+void FlowKeeper::OnUpstreamPacket(std::span<std::uint8_t> datagram,
+                                  TimePoint now) {
+  const std::optional<FlowPacket> packet = m_codec.Decode(datagram);
+  if (!packet) {
+    Report(Kind::kDropped, {}, {}, "malformed");
+    return;
+  }
+  if (packet->bounced) {
+    OnHandedBack(*packet, datagram, now);
+    return;
+  }
+  const FlowTuple tuple{packet->destination, packet->source};
+  const auto [position, added] = m_flows.try_emplace(tuple);
+  UpstreamFlow& flow = position->second;
+  if (added) {
+    flow.state = State::kUnconfirmed;
+  }
+  flow.last_packet = now;
+  if (packet->syn) {
+    flow.answered = true;
+    flow.upstream_sequence = packet->sequence;
+  } else if (flow.state == State::kUnconfirmed && !packet->reset) {
+    Confirm(tuple, &flow);
+  }
+  if (packet->data_bytes > 0) {
+    flow.running = false;
+  }
+  if (packet->fin || packet->reset) {
+    flow.state = State::kClosing;
+    flow.running = false;
+  }
+  m_output->SendToCaller(tuple.caller, datagram);
+}
+
+void FlowKeeper::OnHandedBack(const FlowPacket& packet,
+                              std::span<std::uint8_t> datagram,
+                              TimePoint /*now*/) {
+  const FlowTuple tuple{packet.source, packet.destination};
+  const auto position = m_flows.find(tuple);
+  if (position == m_flows.end()) {
+    Report(Kind::kDropped, tuple, {}, "handed_back_unknown");
+    return;
+  }
+  const UpstreamFlow flow = position->second;
+  m_codec.ClearBounced(datagram);
+  if (packet.IsOpening()) {
+    if (flow.state == State::kOpening && !flow.answered) {
+      m_flows.erase(position);
+    }
+    Return(flow.balancer, ReturnReason::kUpstreamFull, tuple, false, datagram);
+    return;
+  }
+  m_flows.erase(position);
+  if (flow.state == State::kOpen) {
+    Reset(tuple, flow, "upstream_lost_flow");
+  } else if (flow.state == State::kUnconfirmed) {
+    Return(flow.balancer, ReturnReason::kFlowUnknown, tuple, true, datagram);
+  }
+}
+
+ReturnReason FlowKeeper::Refusal(TimePoint now) const {
+  if (m_phase == AgentPhase::kStopping) {
+    return ReturnReason::kAgentStopping;
+  }
+  if (m_phase == AgentPhase::kUpstreamDown) {
+    return ReturnReason::kUpstreamDown;
+  }
+  if (m_draining) {
+    return ReturnReason::kUpstreamDraining;
+  }
+  const bool zone_out = std::any_of(
+      m_balancers.begin(), m_balancers.end(), [&](const auto& item) {
+        return item.second.heartbeat.zone_out &&
+               now - item.second.heard < kBalancerTimeout;
+      });
+  return zone_out ? ReturnReason::kZoneOut : ReturnReason::kCount;
+}
+
+void FlowKeeper::On(const SocketAddress& source,
+                    const BalancerHeartbeat& heartbeat,
+                    TimePoint now) {
+  const auto [position, added] = m_balancers.try_emplace(source);
+  Balancer& balancer = position->second;
+  const bool restarted =
+      added || balancer.heartbeat.incarnation != heartbeat.incarnation;
+  balancer.heartbeat = heartbeat;
+  balancer.heard = now;
+  if (restarted) {
+    Report(Kind::kPeerBack, {}, source, "heartbeat");
+    SendAllFlows(source);
+  }
+  if (heartbeat.entry_revision != Revision{} &&
+      heartbeat.entry_revision >= m_entry_revision) {
+    if (heartbeat.entry_revision > m_entry_revision) {
+      Report(Kind::kPeerPhase, {}, source,
+             heartbeat.draining ? "entry_draining" : "entry_ready");
+      m_cold.SetCold(now + heartbeat.cold_left, heartbeat.cold_rate_milli);
+    }
+    m_entry_revision = heartbeat.entry_revision;
+    m_draining = heartbeat.draining;
+  }
+}
+
+void FlowKeeper::OnUpstreamDown(TimePoint now) {
+  SetPhase(AgentPhase::kUpstreamDown, now);
+  for (const auto& [tuple, flow] : m_flows) {
+    if (flow.state == State::kOpen) {
+      Reset(tuple, flow, "upstream_down");
+    }
+  }
+  m_flows.clear();
+}
+
+void FlowKeeper::OnUpstreamUp(TimePoint now) {
+  SetPhase(AgentPhase::kServing, now);
+}
+
+void FlowKeeper::BeginStop(TimePoint now) {
+  SetPhase(AgentPhase::kStopping, now);
+}
+
+void FlowKeeper::SetPhase(AgentPhase phase, TimePoint now) {
+  if (m_phase == phase || m_phase == AgentPhase::kStopping) {
+    return;
+  }
+  m_phase = phase;
+  Report(Kind::kPeerPhase, {}, {}, ToString(phase));
+  SendStatus(now);
+}
+
+void FlowKeeper::OnTick(TimePoint now) {
+  if (now >= m_next_sweep) {
+    m_next_sweep = now + kSweepInterval;
+    Sweep(now);
+  }
+  if (now >= m_next_status) {
+    SendStatus(now);
+  }
+}
+
+void FlowKeeper::Sweep(TimePoint now) {
+  std::erase_if(m_flows, [&](const auto& item) {
+    const Duration idle = now - item.second.last_packet;
+    const bool open = item.second.state == State::kOpen;
+    return idle > (open ? m_settings.flow_lifetime : kClosingTime);
+  });
+  std::erase_if(m_balancers, [&](const auto& item) {
+    const bool gone = now - item.second.heard > kBalancerTimeout;
+    if (gone) {
+      Report(Kind::kPeerSilent, {}, item.first, "no_heartbeat");
+    }
+    return gone;
+  });
+}
+
+std::uint32_t FlowKeeper::running() const {
+  return static_cast<std::uint32_t>(
+      std::count_if(m_flows.begin(), m_flows.end(),
+                    [](const auto& item) { return item.second.running; }));
+}
+
+AgentStatus FlowKeeper::MakeStatus() const {
+  AgentStatus status;
+  status.incarnation = m_settings.incarnation;
+  status.service = m_settings.service;
+  status.zone = m_settings.zone;
+  status.phase = m_phase;
+  status.running = running();
+  for (const auto& [tuple, flow] : m_flows) {
+    const bool counts =
+        flow.state == State::kOpening || flow.state == State::kOpen;
+    status.flows += counts ? 1 : 0;
+    status.long_flows += counts && flow.long_lived ? 1 : 0;
+  }
+  return status;
+}
+
+void FlowKeeper::SendStatus(TimePoint now) {
+  m_next_status = now + SilenceJudge::kReportInterval;
+  AgentStatus status = MakeStatus();
+  do {
+    const std::size_t count = std::min(m_opened.size(), kMaxFlowsPerStatus);
+    status.opened.assign(m_opened.end() - static_cast<std::ptrdiff_t>(count),
+                         m_opened.end());
+    m_opened.resize(m_opened.size() - count);
+    for (const auto& [address, balancer] : m_balancers) {
+      m_output->SendToNode(address, status);
+    }
+    if (m_balancers.empty()) {
+      for (const SocketAddress& seed : m_settings.seeds) {
+        m_output->SendToNode(seed, status);
+      }
+    }
+  } while (!m_opened.empty());
+}
+
+void FlowKeeper::SendAllFlows(const SocketAddress& balancer) {
+  AgentStatus status = MakeStatus();
+  for (const auto& [tuple, flow] : m_flows) {
+    if (flow.state != State::kOpen) {
+      continue;
+    }
+    status.opened.push_back({tuple, flow.acknowledgment});
+    if (status.opened.size() == kMaxFlowsPerStatus) {
+      m_output->SendToNode(balancer, status);
+      status.opened.clear();
+    }
+  }
+  m_output->SendToNode(balancer, status);
+}
+
+void FlowKeeper::Confirm(const FlowTuple& tuple, UpstreamFlow* flow) {
+  flow->state = State::kOpen;
+  m_opened.push_back({tuple, flow->acknowledgment});
+}
+
+void FlowKeeper::Reset(const FlowTuple& tuple,
+                       const UpstreamFlow& flow,
+                       const char* reason) {
+  Report(Kind::kReset, tuple, flow.balancer, reason);
+  m_output->SendReset(tuple, flow.acknowledgment);
+}
+
+void FlowKeeper::Return(const SocketAddress& balancer,
+                        ReturnReason reason,
+                        const FlowTuple& tuple,
+                        bool search,
+                        std::span<const std::uint8_t> packet) {
+  Report(Kind::kReturned, tuple, balancer, ToString(reason));
+  m_output->SendToNode(balancer, ReturnMessage{reason, search, packet});
+}
+
+void FlowKeeper::Report(FlowDecision::Kind kind,
+                        const FlowTuple& tuple,
+                        const SocketAddress& peer,
+                        const char* reason) const {
+  FlowDecision decision;
+  decision.kind = kind;
+  decision.tuple = tuple;
+  decision.peer = peer;
+  decision.reason = reason;
+  decision.service = m_settings.service;
+  m_output->Report(decision);
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/libflow/flowkeeper.h
@@ -0,0 +1,130 @@
+#ifndef FIREFLYTRESTLE_LIBFLOW_FLOWKEEPER_H_
+#define FIREFLYTRESTLE_LIBFLOW_FLOWKEEPER_H_
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "libflow/coldadmission.h"
+#include "libflow/flowdecision.h"
+#include "libflow/heldflows.h"
+#include "libflow/nodemessage.h"
+
+namespace fireflytrestle {
+
+class FlowOutput;
+class PacketCodec;
+struct FlowPacket;
+
+/// \brief Decisions of an agent on the flows of the upstream beside it.
+///
+/// The upstream knows its flows; the agent learns them from the packets that
+/// pass, tells the balancers, and admits new ones only while the upstream may
+/// get them. The adapter calls OnTick() every 50 ms.
+class FlowKeeper {
+ public:
+  struct Settings {
+    Incarnation incarnation{};
+    std::string service;
+    std::string zone;
+    /// Balancers to report to until a heartbeat of one arrives.
+    std::vector<SocketAddress> seeds;
+    /// A flow may be forgotten at this age.
+    std::chrono::milliseconds flow_lifetime{60000};
+  };
+
+  /// \p codec and \p output must outlive the keeper.
+  FlowKeeper(Settings settings,
+             const PacketCodec& codec,
+             FlowOutput* output,
+             TimePoint now);
+
+  /// Takes a message of the balancer at \p source.
+  void OnNodeMessage(const SocketAddress& source,
+                     const NodeMessage& message,
+                     TimePoint now);
+
+  /// Takes a packet that the upstream sent or handed back; the latter is made
+  /// ready for another upstream in place.
+  void OnUpstreamPacket(std::span<std::uint8_t> datagram, TimePoint now);
+
+  /// The upstream's process is gone, and with it all its flows.
+  void OnUpstreamDown(TimePoint now);
+  void OnUpstreamUp(TimePoint now);
+
+  /// The agent is about to stop while its upstream goes on: balancers keep the
+  /// flows and place no new ones.
+  void BeginStop(TimePoint now);
+
+  void OnTick(TimePoint now);
+
+  std::size_t flow_count() const { return m_flows.size(); }
+  std::uint32_t running() const;
+  AgentPhase phase() const { return m_phase; }
+
+ private:
+  struct Balancer {
+    BalancerHeartbeat heartbeat;
+    TimePoint heard;
+  };
+
+  void On(const SocketAddress& source,
+          const DeliverMessage& message,
+          TimePoint now);
+  void On(const SocketAddress& source,
+          const BalancerHeartbeat& heartbeat,
+          TimePoint now);
+  void OnOpening(const SocketAddress& source,
+                 const DeliverMessage& message,
+                 const FlowPacket& packet,
+                 const FlowTuple& tuple,
+                 TimePoint now);
+  void OnFlowPacket(const SocketAddress& source,
+                    const DeliverMessage& message,
+                    const FlowPacket& packet,
+                    const FlowTuple& tuple,
+                    TimePoint now);
+  void OnHandedBack(const FlowPacket& packet,
+                    std::span<std::uint8_t> datagram,
+                    TimePoint now);
+  void Return(const SocketAddress& balancer,
+              ReturnReason reason,
+              const FlowTuple& tuple,
+              bool search,
+              std::span<const std::uint8_t> packet);
+  /// Returns why the upstream gets no new flow; kCount if it may.
+  ReturnReason Refusal(TimePoint now) const;
+  void Confirm(const FlowTuple& tuple, UpstreamFlow* flow);
+  void Reset(const FlowTuple& tuple,
+             const UpstreamFlow& flow,
+             const char* reason);
+  void Report(FlowDecision::Kind kind,
+              const FlowTuple& tuple,
+              const SocketAddress& peer,
+              const char* reason) const;
+  void SetPhase(AgentPhase phase, TimePoint now);
+  AgentStatus MakeStatus() const;
+  void SendStatus(TimePoint now);
+  void SendAllFlows(const SocketAddress& balancer);
+  void Sweep(TimePoint now);
+
+  Settings m_settings;
+  const PacketCodec& m_codec;
+  FlowOutput* m_output;
+  AgentPhase m_phase = AgentPhase::kServing;
+  HeldFlows m_flows;
+  /// Flows to name in the next status.
+  std::vector<HeldFlow> m_opened;
+  std::map<SocketAddress, Balancer> m_balancers;
+  Revision m_entry_revision{};
+  bool m_draining = false;
+  ColdAdmission m_cold;
+  TimePoint m_next_status;
+  TimePoint m_next_sweep;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBFLOW_FLOWKEEPER_H_
--- /dev/null
+++ b/src/libflow/flowoutput.h
@@ -0,0 +1,37 @@
+#ifndef FIREFLYTRESTLE_LIBFLOW_FLOWOUTPUT_H_
+#define FIREFLYTRESTLE_LIBFLOW_FLOWOUTPUT_H_
+
+#include <cstdint>
+#include <span>
+
+#include "libflow/flowdecision.h"
+#include "libflow/nodemessage.h"
+
+namespace fireflytrestle {
+
+/// \brief What the decisions on flows ask of their adapter. Calls take effect
+/// at once and keep no reference to their arguments.
+class FlowOutput {
+ public:
+  virtual ~FlowOutput() = default;
+
+  /// Sends \p message to another process of the system.
+  virtual void SendToNode(const SocketAddress& node,
+                          const NodeMessage& message) = 0;
+
+  /// Hands a caller's packet to the upstream beside this process.
+  virtual void SendToUpstream(std::span<const std::uint8_t> packet) = 0;
+
+  /// Sends an upstream's packet to its caller.
+  virtual void SendToCaller(const SocketAddress& caller,
+                            std::span<const std::uint8_t> packet) = 0;
+
+  /// Resets a flow at its caller.
+  virtual void SendReset(const FlowTuple& tuple, std::uint32_t sequence) = 0;
+
+  virtual void Report(const FlowDecision& decision) = 0;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBFLOW_FLOWOUTPUT_H_
--- /dev/null
+++ b/src/libflow/flowpacket.h
@@ -0,0 +1,31 @@
+#ifndef FIREFLYTRESTLE_LIBFLOW_FLOWPACKET_H_
+#define FIREFLYTRESTLE_LIBFLOW_FLOWPACKET_H_
+
+#include <cstdint>
+
+#include "libbase/socketaddress.h"
+
+namespace fireflytrestle {
+
+/// \brief Header of one packet of a flow, as far as decisions read it.
+struct FlowPacket {
+  SocketAddress source;
+  SocketAddress destination;
+  bool syn = false;
+  bool ack = false;
+  bool fin = false;
+  bool reset = false;
+  /// The upstream handed the packet back: it cannot accept it or does not hold
+  /// its flow.
+  bool bounced = false;
+  std::uint32_t sequence = 0;
+  std::uint32_t acknowledgment = 0;
+  /// Bytes of the connection that the packet carries.
+  std::uint16_t data_bytes = 0;
+
+  bool IsOpening() const { return syn && !ack; }
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBFLOW_FLOWPACKET_H_
--- /dev/null
+++ b/src/libflow/flowrouter.cpp
@@ -0,0 +1,408 @@
+#include "libflow/flowrouter.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "libflow/agentselector.h"
+#include "libflow/flowoutput.h"
+#include "libflow/flowpacket.h"
+#include "libflow/packetcodec.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Kind = FlowDecision::Kind;
+using State = FlowEntry::State;
+
+/// Agents learn of a changed view at once; this is for those that restarted.
+constexpr milliseconds kHeartbeatInterval{250};
+constexpr milliseconds kSweepInterval{1000};
+/// A copy of a SYN that comes this long after it shows that the first agent
+/// does not answer: callers repeat after 200 ms, an answer takes under 20 ms.
+constexpr milliseconds kUnanswered{120};
+/// Agents that one SYN may go to.
+constexpr std::uint8_t kMaxPlacements = 4;
+/// Further placements: 30% of the new flows, and a steady minimum.
+constexpr double kRetryShare = 0.3;
+constexpr double kRetriesPerSecond = 20.0;
+
+bool Remove(std::vector<AgentPeerPtr>* agents, const AgentPeerPtr& agent) {
+  return std::erase(*agents, agent) > 0;
+}
+
+}  // namespace
+
+FlowRouter::FlowRouter(Settings settings,
+                       const PacketCodec& codec,
+                       FlowOutput* output,
+                       TimePoint now)
+    : m_settings(std::move(settings)),
+      m_codec(codec),
+      m_output(output),
+      m_view(std::make_shared<SiteView>()),
+      m_agents(m_settings.agent_port),
+      m_retry_budget(kRetryShare, kRetriesPerSecond, now),
+      m_next_heartbeat(now),
+      m_next_sweep(now + kSweepInterval) {}
+
+void FlowRouter::InstallView(std::shared_ptr<const SiteView> view,
+                             TimePoint now) {
+  m_view = std::move(view);
+  m_agents.Install(*m_view, now);
+  SendHeartbeats(now);
+}
+
+bool FlowRouter::IsServing() const {
+  return m_view->configuration_version != 0 &&
+         std::any_of(m_agents.all().begin(), m_agents.all().end(),
+                     [](const auto& item) { return !!item.second->heard(); });
+}
+
+void FlowRouter::OnCallerPacket(std::span<const std::uint8_t> datagram,
+                                TimePoint now) {
+  const std::optional<FlowPacket> packet = m_codec.Decode(datagram);
+  if (!packet || (packet->syn && packet->ack)) {
+    Report(Kind::kDropped, {}, nullptr, "malformed", now);
+    return;
+  }
+  const FlowTuple tuple{packet->source, packet->destination};
+  if (packet->IsOpening()) {
+    OnOpening(*packet, tuple, datagram, now);
+  } else {
+    OnFlowPacket(*packet, tuple, datagram, now);
+  }
+}
+
+void FlowRouter::OnOpening(const FlowPacket& packet,
+                           const FlowTuple& tuple,
+                           std::span<const std::uint8_t> datagram,
+                           TimePoint now) {
+  FlowEntry* entry = m_flows.Find(tuple);
+  if (entry != nullptr && entry->syn_sequence == packet.sequence &&
+      entry->state != State::kSearching) {
+    entry->last_packet = now;
+    const bool unanswered = entry->state == State::kOpening &&
+                            now - entry->placed >= kUnanswered &&
+                            m_retry_budget.TryRetry(now);
+    if (unanswered) {
+      Place(tuple, entry, datagram, now);
+    } else {
+      Deliver(*entry, entry->owner, false, datagram);
+    }
+    return;
+  }
+  m_flows.Erase(tuple);
+  if (m_view->configuration_version == 0) {
+    Report(Kind::kDropped, tuple, nullptr, "no_configuration", now);
+    return;
+  }
+  const auto route = m_view->routes.find(tuple.route);
+  if (route == m_view->routes.end()) {
+    Reset(tuple, packet.acknowledgment, "no_route", nullptr, now);
+    return;
+  }
+  entry = m_flows.Add(tuple);
+  if (entry == nullptr) {
+    Reset(tuple, packet.acknowledgment, "too_many_flows", nullptr, now);
+    return;
+  }
+  entry->idempotent = route->second.idempotent;
+  entry->long_lived = route->second.long_lived;
+  entry->carried = true;
+  entry->syn_sequence = packet.sequence;
+  entry->acknowledgment = packet.acknowledgment;
+  entry->last_packet = now;
+  m_retry_budget.OnFirstAttempt();
+  Place(tuple, entry, datagram, now);
+}
+
+void FlowRouter::Place(const FlowTuple& tuple,
+                       FlowEntry* entry,
+                       std::span<const std::uint8_t> datagram,
+                       TimePoint now) {
+  if (entry->owner) {
+    entry->asked.push_back(std::exchange(entry->owner, nullptr));
+  }
+  const auto route = m_view->routes.find(tuple.route);
+  const std::string* service = route == m_view->routes.end()
+                                   ? nullptr
+                                   : SelectService(route->second, tuple);
+  AgentPeerPtr agent;
+  if (service != nullptr && entry->placements < kMaxPlacements) {
+    agent = SelectAgent(m_agents.OfService(*service), tuple, entry->long_lived,
+                        entry->asked, m_settings.zone, now);
+  }
+  if (!agent) {
+    const bool tried = entry->placements > 0;
+    Reset(tuple, entry->acknowledgment,
+          tried ? "no_agent_takes_it" : "no_upstream", nullptr, now);
+    m_flows.Erase(tuple);
+    return;
+  }
+  Report(entry->placements == 0 ? Kind::kPlaced : Kind::kPlacedAgain, tuple,
+         agent.get(), agent->IsPreferred(now) ? "least_load" : "last_resort",
+         now);
+  ++entry->placements;
+  entry->state = State::kOpening;
+  entry->placed = now;
+  entry->owner = agent;
+  agent->OnPlaced(entry->long_lived);
+  Deliver(*entry, agent, false, datagram);
+}
+
+void FlowRouter::OnFlowPacket(const FlowPacket& packet,
+                              const FlowTuple& tuple,
+                              std::span<const std::uint8_t> datagram,
+                              TimePoint now) {
+  FlowEntry* entry = m_flows.Find(tuple);
+  if (entry == nullptr) {
+    Search(packet, tuple, datagram, now);
+    return;
+  }
+  entry->last_packet = now;
+  entry->carried = true;
+  entry->acknowledgment = packet.acknowledgment;
+  if (entry->state == State::kOpening) {
+    if (entry->asked.empty()) {
+      entry->state = State::kOpen;
+    } else {
+      // Several agents have the SYN, and the caller has chosen one of them.
+      entry->state = State::kSearching;
+      entry->asked.push_back(std::exchange(entry->owner, nullptr));
+    }
+  }
+  if (entry->state == State::kSearching) {
+    for (const AgentPeerPtr& agent : entry->asked) {
+      Deliver(*entry, agent, true, datagram);
+    }
+    return;
+  }
+  if (entry->owner->silent() && entry->idempotent && m_judge.IsTrusted(now)) {
+    Reset(tuple, packet.acknowledgment, "agent_silent", entry->owner.get(),
+          now);
+    m_flows.Erase(tuple);
+    return;
+  }
+  Deliver(*entry, entry->owner, false, datagram);
+}
+
+void FlowRouter::Search(const FlowPacket& packet,
+                        const FlowTuple& tuple,
+                        std::span<const std::uint8_t> datagram,
+                        TimePoint now) {
+  if (m_view->configuration_version == 0) {
+    Report(Kind::kDropped, tuple, nullptr, "no_configuration", now);
+    return;
+  }
+  const auto route = m_view->routes.find(tuple.route);
+  if (route == m_view->routes.end()) {
+    if (!packet.reset) {
+      Reset(tuple, packet.acknowledgment, "no_route", nullptr, now);
+    }
+    return;
+  }
+  FlowEntry* entry = m_flows.Add(tuple);
+  if (entry == nullptr) {
+    Report(Kind::kDropped, tuple, nullptr, "too_many_flows", now);
+    return;
+  }
+  entry->state = State::kSearching;
+  entry->idempotent = route->second.idempotent;
+  entry->long_lived = route->second.long_lived;
+  entry->carried = true;
+  entry->acknowledgment = packet.acknowledgment;
+  entry->placed = now;
+  entry->last_packet = now;
+  for (const WeightedService& each : route->second.services) {
+    const auto& agents = m_agents.OfService(each.service);
+    entry->asked.insert(entry->asked.end(), agents.begin(), agents.end());
+  }
+  Report(Kind::kSearched, tuple, nullptr, "owner_unknown", now);
+  for (const AgentPeerPtr& agent : entry->asked) {
+    Deliver(*entry, agent, true, datagram);
+  }
+}
+
+void FlowRouter::Deliver(const FlowEntry& entry,
+                         const AgentPeerPtr& agent,
+                         bool search,
+                         std::span<const std::uint8_t> datagram) {
+  m_output->SendToNode(
+      agent->address(),
+      DeliverMessage{agent->service(), search, entry.long_lived, datagram});
+}
+
+void FlowRouter::Reset(const FlowTuple& tuple,
+                       std::uint32_t sequence,
+                       const char* reason,
+                       const AgentPeer* agent,
+                       TimePoint now) {
+  Report(Kind::kReset, tuple, agent, reason, now);
+  m_output->SendReset(tuple, sequence);
+}
+
+void FlowRouter::Report(FlowDecision::Kind kind,
+                        const FlowTuple& tuple,
+                        const AgentPeer* agent,
+                        const char* reason,
+                        TimePoint now) {
+  FlowDecision decision;
+  decision.kind = kind;
+  decision.tuple = tuple;
+  decision.reason = reason;
+  decision.configuration_version = m_view->configuration_version;
+  if (agent != nullptr) {
+    decision.peer = agent->address();
+    decision.service = agent->service();
+    decision.running = agent->running();
+    decision.report_age = agent->report_age(now);
+  }
+  m_output->Report(decision);
+}
+
+void FlowRouter::OnNodeMessage(const SocketAddress& source,
+                               const NodeMessage& message,
+                               TimePoint now) {
+  if (const auto* status = std::get_if<AgentStatus>(&message)) {
+    On(source, *status, now);
+  } else if (const auto* returned = std::get_if<ReturnMessage>(&message)) {
+    On(source, *returned, now);
+  } else {
+    Report(Kind::kDropped, {}, nullptr, "unexpected_message", now);
+  }
+}
+
+void FlowRouter::On(const SocketAddress& source,
+                    const ReturnMessage& message,
+                    TimePoint now) {
+  const std::optional<FlowPacket> packet = m_codec.Decode(message.packet);
+  const AgentPeerPtr agent = m_agents.Find(source);
+  if (!packet || !agent) {
+    Report(Kind::kDropped, {}, nullptr, "malformed", now);
+    return;
+  }
+  const FlowTuple tuple{packet->source, packet->destination};
+  Report(Kind::kReturned, tuple, agent.get(), ToString(message.reason), now);
+  if (!packet->IsOpening()) {
+    OnFlowUnknown(tuple, agent, now);
+    return;
+  }
+  agent->OnReturned(message.reason, now);
+  FlowEntry* entry = m_flows.Find(tuple);
+  if (entry == nullptr || entry->owner != agent ||
+      entry->state != State::kOpening ||
+      entry->syn_sequence != packet->sequence) {
+    return;
+  }
+  if (!m_retry_budget.TryRetry(now)) {
+    Reset(tuple, entry->acknowledgment, "retry_budget", agent.get(), now);
+    m_flows.Erase(tuple);
+    return;
+  }
+  Place(tuple, entry, message.packet, now);
+}
+
+void FlowRouter::OnFlowUnknown(const FlowTuple& tuple,
+                               const AgentPeerPtr& agent,
+                               TimePoint now) {
+  FlowEntry* entry = m_flows.Find(tuple);
+  if (entry == nullptr) {
+    return;
+  }
+  if (entry->state == State::kSearching) {
+    if (Remove(&entry->asked, agent) && entry->asked.empty()) {
+      Reset(tuple, entry->acknowledgment, "no_owner", agent.get(), now);
+      m_flows.Erase(tuple);
+    }
+    return;
+  }
+  if (entry->state == State::kOpen && entry->owner == agent) {
+    // Forgotten, so that the caller's next packet starts a search.
+    m_flows.Erase(tuple);
+  }
+}
+
+void FlowRouter::On(const SocketAddress& source,
+                    const AgentStatus& status,
+                    TimePoint now) {
+  const AgentPeerPtr before = m_agents.Find(source);
+  const AgentPhase phase = before ? before->phase() : AgentPhase::kServing;
+  const AgentPeerPtr agent = m_agents.OnStatus(source, status, now);
+  if (!before || agent->silent()) {
+    agent->set_silent(false);
+    Report(Kind::kPeerBack, {}, agent.get(), "report", now);
+  }
+  if (phase != status.phase) {
+    Report(Kind::kPeerPhase, {}, agent.get(), ToString(status.phase), now);
+  }
+  for (const HeldFlow& held : status.opened) {
+    FlowEntry* entry = m_flows.Add(held.tuple);
+    if (entry == nullptr) {
+      return;
+    }
+    const bool fresh = entry->last_packet == TimePoint{};
+    if (fresh) {
+      entry->acknowledgment = held.acknowledgment;
+      entry->last_packet = now;
+      const auto route = m_view->routes.find(held.tuple.route);
+      if (route != m_view->routes.end()) {
+        entry->idempotent = route->second.idempotent;
+        entry->long_lived = route->second.long_lived;
+      }
+    } else if (entry->state == State::kSearching) {
+      Report(Kind::kFound, held.tuple, agent.get(), "report", now);
+    }
+    entry->state = State::kOpen;
+    entry->owner = agent;
+    entry->asked.clear();
+  }
+}
+
+void FlowRouter::OnTick(TimePoint now) {
+  for (const AgentPeerPtr& agent : m_judge.OnTick(m_agents, now)) {
+    Report(Kind::kPeerSilent, {}, agent.get(), "no_report", now);
+    AbandonFlowsOf(agent, now);
+  }
+  if (now >= m_next_heartbeat) {
+    SendHeartbeats(now);
+  }
+  if (now >= m_next_sweep) {
+    m_next_sweep = now + kSweepInterval;
+    const Duration idle =
+        std::max<Duration>(m_view->flow_idle_timeout, m_settings.flow_lifetime);
+    m_flows.EraseIdle(now - idle);
+    m_agents.Prune(now);
+  }
+}
+
+void FlowRouter::AbandonFlowsOf(const AgentPeerPtr& agent, TimePoint now) {
+  std::vector<FlowTuple> abandoned;
+  for (auto& [tuple, entry] : m_flows.flows()) {
+    if (entry.owner == agent && entry.state == State::kOpen &&
+        entry.idempotent && entry.carried) {
+      Reset(tuple, entry.acknowledgment, "agent_silent", agent.get(), now);
+      abandoned.push_back(tuple);
+    } else if (entry.state == State::kSearching &&
+               Remove(&entry.asked, agent) && entry.asked.empty() &&
+               entry.idempotent) {
+      Reset(tuple, entry.acknowledgment, "no_owner", agent.get(), now);
+      abandoned.push_back(tuple);
+    }
+  }
+  for (const FlowTuple& tuple : abandoned) {
+    m_flows.Erase(tuple);
+  }
+}
+
+void FlowRouter::SendHeartbeats(TimePoint now) {
+  m_next_heartbeat = now + kHeartbeatInterval;
+  for (const auto& [address, agent] : m_agents.all()) {
+    m_output->SendToNode(address,
+                         agent->MakeHeartbeat(m_settings.incarnation, now));
+  }
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/libflow/flowrouter.h
@@ -0,0 +1,119 @@
+#ifndef FIREFLYTRESTLE_LIBFLOW_FLOWROUTER_H_
+#define FIREFLYTRESTLE_LIBFLOW_FLOWROUTER_H_
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+
+#include "libbase/retrybudget.h"
+#include "libflow/agenttable.h"
+#include "libflow/flowdecision.h"
+#include "libflow/flowdirectory.h"
+#include "libflow/silencejudge.h"
+
+namespace fireflytrestle {
+
+class FlowOutput;
+class PacketCodec;
+struct FlowPacket;
+
+/// \brief Decisions of a balancer on flows whose packets carry no identity.
+///
+/// New flows go to the agent with the least load. Packets of open flows go to
+/// the owner, known from the placement or from the agents' reports; where
+/// neither tells, all agents of the service are asked with the packet itself.
+/// The adapter calls OnTick() every 50 ms.
+class FlowRouter {
+ public:
+  struct Settings {
+    Incarnation incarnation{};
+    std::string zone;
+    /// Port of every agent for messages of balancers.
+    std::uint16_t agent_port = 0;
+    /// A flow may be forgotten at this age.
+    std::chrono::milliseconds flow_lifetime{60000};
+  };
+
+  /// \p codec and \p output must outlive the router.
+  FlowRouter(Settings settings,
+             const PacketCodec& codec,
+             FlowOutput* output,
+             TimePoint now);
+
+  void InstallView(std::shared_ptr<const SiteView> view, TimePoint now);
+
+  /// Takes a packet of a caller.
+  void OnCallerPacket(std::span<const std::uint8_t> datagram, TimePoint now);
+
+  /// Takes a message of the agent at \p source.
+  void OnNodeMessage(const SocketAddress& source,
+                     const NodeMessage& message,
+                     TimePoint now);
+
+  void OnTick(TimePoint now);
+
+  const AgentTable& agents() const { return m_agents; }
+  std::size_t flow_count() const { return m_flows.size(); }
+  /// Whether new flows can be placed.
+  bool IsServing() const;
+
+ private:
+  void OnOpening(const FlowPacket& packet,
+                 const FlowTuple& tuple,
+                 std::span<const std::uint8_t> datagram,
+                 TimePoint now);
+  void OnFlowPacket(const FlowPacket& packet,
+                    const FlowTuple& tuple,
+                    std::span<const std::uint8_t> datagram,
+                    TimePoint now);
+  void Place(const FlowTuple& tuple,
+             FlowEntry* entry,
+             std::span<const std::uint8_t> datagram,
+             TimePoint now);
+  void Search(const FlowPacket& packet,
+              const FlowTuple& tuple,
+              std::span<const std::uint8_t> datagram,
+              TimePoint now);
+  void Deliver(const FlowEntry& entry,
+               const AgentPeerPtr& agent,
+               bool search,
+               std::span<const std::uint8_t> datagram);
+  void Reset(const FlowTuple& tuple,
+             std::uint32_t sequence,
+             const char* reason,
+             const AgentPeer* agent,
+             TimePoint now);
+  void Report(FlowDecision::Kind kind,
+              const FlowTuple& tuple,
+              const AgentPeer* agent,
+              const char* reason,
+              TimePoint now);
+
+  void On(const SocketAddress& source,
+          const ReturnMessage& message,
+          TimePoint now);
+  void On(const SocketAddress& source,
+          const AgentStatus& status,
+          TimePoint now);
+  void OnFlowUnknown(const FlowTuple& tuple,
+                     const AgentPeerPtr& agent,
+                     TimePoint now);
+  void AbandonFlowsOf(const AgentPeerPtr& agent, TimePoint now);
+  void SendHeartbeats(TimePoint now);
+
+  Settings m_settings;
+  const PacketCodec& m_codec;
+  FlowOutput* m_output;
+  std::shared_ptr<const SiteView> m_view;
+  AgentTable m_agents;
+  FlowDirectory m_flows;
+  SilenceJudge m_judge;
+  RetryBudget m_retry_budget;
+  TimePoint m_next_heartbeat;
+  TimePoint m_next_sweep;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBFLOW_FLOWROUTER_H_
--- /dev/null
+++ b/src/libflow/nodemessagecodec.cpp
@@ -0,0 +1,239 @@
+#include "libflow/nodemessagecodec.h"
+
+#include <limits>
+#include <utility>
+
+#include "libwire/msgpackreader.h"
+#include "libwire/msgpackwriter.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+enum class Kind : std::uint8_t {
+  kDeliver = 1,
+  kReturn,
+  kBalancerHeartbeat,
+  kAgentStatus,
+  kCount,
+};
+
+constexpr std::uint32_t kDeliverFields = 5;
+constexpr std::uint32_t kReturnFields = 4;
+constexpr std::uint32_t kHeartbeatFields = 7;
+constexpr std::uint32_t kStatusFields = 9;
+constexpr std::uint32_t kFlowFields = 5;
+/// Longer names of services and zones are refused.
+constexpr std::size_t kMaxNameBytes = 200;
+constexpr std::uint64_t kMax16 = std::numeric_limits<std::uint16_t>::max();
+constexpr std::uint64_t kMax32 = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t kMax64 = std::numeric_limits<std::uint64_t>::max();
+constexpr std::uint64_t kMaxColdMs = 3600 * 1000;
+
+void WriteHead(MsgpackWriter* writer, Kind kind, std::uint32_t fields) {
+  writer->WriteArray(fields);
+  writer->WriteUint(static_cast<std::uint64_t>(kind));
+}
+
+void WriteName(MsgpackWriter* writer, std::string_view name) {
+  writer->WriteBinary(
+      {reinterpret_cast<const std::uint8_t*>(name.data()), name.size()});
+}
+
+std::string_view ReadName(MsgpackReader* reader) {
+  const std::span<const std::uint8_t> bytes = reader->ReadBinary(kMaxNameBytes);
+  return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
+}
+
+void Write(MsgpackWriter* writer, const DeliverMessage& message) {
+  WriteHead(writer, Kind::kDeliver, kDeliverFields);
+  WriteName(writer, message.service);
+  writer->WriteBool(message.search);
+  writer->WriteBool(message.long_lived);
+  writer->WriteBinary(message.packet);
+}
+
+void Write(MsgpackWriter* writer, const ReturnMessage& message) {
+  WriteHead(writer, Kind::kReturn, kReturnFields);
+  writer->WriteUint(static_cast<std::uint64_t>(message.reason));
+  writer->WriteBool(message.search);
+  writer->WriteBinary(message.packet);
+}
+
+void Write(MsgpackWriter* writer, const BalancerHeartbeat& message) {
+  WriteHead(writer, Kind::kBalancerHeartbeat, kHeartbeatFields);
+  writer->WriteUint(static_cast<std::uint64_t>(message.incarnation));
+  writer->WriteUint(static_cast<std::uint64_t>(message.entry_revision));
+  writer->WriteBool(message.draining);
+  writer->WriteBool(message.zone_out);
+  writer->WriteUint(static_cast<std::uint64_t>(message.cold_left.count()));
+  writer->WriteUint(message.cold_rate_milli);
+}
+
+void Write(MsgpackWriter* writer, const HeldFlow& flow) {
+  writer->WriteArray(kFlowFields);
+  writer->WriteUint(flow.tuple.caller.ipv4);
+  writer->WriteUint(flow.tuple.caller.port);
+  writer->WriteUint(flow.tuple.route.ipv4);
+  writer->WriteUint(flow.tuple.route.port);
+  writer->WriteUint(flow.acknowledgment);
+}
+
+void Write(MsgpackWriter* writer, const AgentStatus& message) {
+  WriteHead(writer, Kind::kAgentStatus, kStatusFields);
+  writer->WriteUint(static_cast<std::uint64_t>(message.incarnation));
+  WriteName(writer, message.service);
+  WriteName(writer, message.zone);
+  writer->WriteUint(static_cast<std::uint64_t>(message.phase));
+  writer->WriteUint(message.running);
+  writer->WriteUint(message.flows);
+  writer->WriteUint(message.long_flows);
+  writer->WriteArray(static_cast<std::uint32_t>(message.opened.size()));
+  for (const HeldFlow& flow : message.opened) {
+    Write(writer, flow);
+  }
+}
+
+DeliverMessage ReadDeliver(MsgpackReader* reader) {
+  DeliverMessage message;
+  message.service = ReadName(reader);
+  message.search = reader->ReadBool();
+  message.long_lived = reader->ReadBool();
+  message.packet = reader->ReadBinary(std::numeric_limits<std::size_t>::max());
+  return message;
+}
+
+ReturnMessage ReadReturn(MsgpackReader* reader) {
+  ReturnMessage message;
+  reader->Read(&message.reason, 1,
+               static_cast<std::uint64_t>(ReturnReason::kCount) - 1);
+  message.search = reader->ReadBool();
+  message.packet = reader->ReadBinary(std::numeric_limits<std::size_t>::max());
+  return message;
+}
+
+BalancerHeartbeat ReadHeartbeat(MsgpackReader* reader) {
+  BalancerHeartbeat message;
+  reader->Read(&message.incarnation, 0, kMax64);
+  reader->Read(&message.entry_revision, 0, kMax64);
+  message.draining = reader->ReadBool();
+  message.zone_out = reader->ReadBool();
+  message.cold_left =
+      std::chrono::milliseconds(reader->ReadUint(0, kMaxColdMs));
+  reader->Read(&message.cold_rate_milli, 0, kMax32);
+  return message;
+}
+
+HeldFlow ReadFlow(MsgpackReader* reader) {
+  HeldFlow flow;
+  reader->ReadArrayOf(kFlowFields);
+  reader->Read(&flow.tuple.caller.ipv4, 0, kMax32);
+  reader->Read(&flow.tuple.caller.port, 0, kMax16);
+  reader->Read(&flow.tuple.route.ipv4, 0, kMax32);
+  reader->Read(&flow.tuple.route.port, 0, kMax16);
+  reader->Read(&flow.acknowledgment, 0, kMax32);
+  return flow;
+}
+
+AgentStatus ReadStatus(MsgpackReader* reader) {
+  AgentStatus message;
+  reader->Read(&message.incarnation, 0, kMax64);
+  message.service = ReadName(reader);
+  message.zone = ReadName(reader);
+  reader->Read(&message.phase, 1,
+               static_cast<std::uint64_t>(AgentPhase::kCount) - 1);
+  reader->Read(&message.running, 0, kMax32);
+  reader->Read(&message.flows, 0, kMax32);
+  reader->Read(&message.long_flows, 0, kMax32);
+  const std::uint32_t count = reader->ReadArray();
+  if (count > kMaxFlowsPerStatus) {
+    reader->Fail(WireError::kOutOfRange);
+    return message;
+  }
+  for (std::uint32_t i = 0; i < count && reader->ok(); ++i) {
+    message.opened.push_back(ReadFlow(reader));
+  }
+  return message;
+}
+
+struct Shape {
+  std::uint32_t fields;
+  NodeMessage (*read)(MsgpackReader*);
+};
+
+template <auto Reader>
+NodeMessage ReadAs(MsgpackReader* reader) {
+  return Reader(reader);
+}
+
+constexpr Shape kShapes[] = {
+    {kDeliverFields, ReadAs<ReadDeliver>},
+    {kReturnFields, ReadAs<ReadReturn>},
+    {kHeartbeatFields, ReadAs<ReadHeartbeat>},
+    {kStatusFields, ReadAs<ReadStatus>},
+};
+
+}  // namespace
+
+const char* ToString(ReturnReason reason) {
+  switch (reason) {
+    case ReturnReason::kWrongService:
+      return "wrong_service";
+    case ReturnReason::kUpstreamFull:
+      return "upstream_full";
+    case ReturnReason::kUpstreamDraining:
+      return "upstream_draining";
+    case ReturnReason::kUpstreamDown:
+      return "upstream_down";
+    case ReturnReason::kUpstreamCold:
+      return "upstream_cold";
+    case ReturnReason::kZoneOut:
+      return "zone_out";
+    case ReturnReason::kAgentStopping:
+      return "agent_stopping";
+    case ReturnReason::kFlowUnknown:
+      return "flow_unknown";
+    case ReturnReason::kCount:
+      break;
+  }
+  return "unknown";
+}
+
+const char* ToString(AgentPhase phase) {
+  switch (phase) {
+    case AgentPhase::kServing:
+      return "serving";
+    case AgentPhase::kUpstreamDown:
+      return "upstream_down";
+    case AgentPhase::kStopping:
+      return "stopping";
+    case AgentPhase::kCount:
+      break;
+  }
+  return "unknown";
+}
+
+std::size_t EncodeNodeMessage(const NodeMessage& message,
+                              std::span<std::uint8_t> out) {
+  MsgpackWriter writer(out);
+  std::visit([&](const auto& each) { Write(&writer, each); }, message);
+  return writer.Finish();
+}
+
+std::optional<NodeMessage> DecodeNodeMessage(
+    std::span<const std::uint8_t> datagram) {
+  MsgpackReader reader(datagram);
+  const std::uint32_t fields = reader.ReadArray();
+  const std::uint64_t kind =
+      reader.ReadUint(1, static_cast<std::uint64_t>(Kind::kCount) - 1);
+  if (!reader.ok() || kShapes[kind - 1].fields != fields) {
+    return std::nullopt;
+  }
+  NodeMessage message = kShapes[kind - 1].read(&reader);
+  if (reader.Finish() != WireError::kNone) {
+    return std::nullopt;
+  }
+  return message;
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/libflow/nodemessagecodec.h
@@ -0,0 +1,28 @@
+#ifndef FIREFLYTRESTLE_LIBFLOW_NODEMESSAGECODEC_H_
+#define FIREFLYTRESTLE_LIBFLOW_NODEMESSAGECODEC_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+#include "libflow/nodemessage.h"
+
+namespace fireflytrestle {
+
+/// Flows that fit one status beside its other fields in a datagram of 1,400
+/// bytes: 22 bytes each.
+inline constexpr std::size_t kMaxFlowsPerStatus = 50;
+
+/// Writes \p message to \p out without allocating. Returns its size, 0 if it
+/// does not fit.
+std::size_t EncodeNodeMessage(const NodeMessage& message,
+                              std::span<std::uint8_t> out);
+
+/// Reads one datagram; empty if it is malformed. The result points into it.
+std::optional<NodeMessage> DecodeNodeMessage(
+    std::span<const std::uint8_t> datagram);
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBFLOW_NODEMESSAGECODEC_H_
--- /dev/null
+++ b/src/libflow/silencejudge.h
@@ -0,0 +1,42 @@
+#ifndef FIREFLYTRESTLE_LIBFLOW_SILENCEJUDGE_H_
+#define FIREFLYTRESTLE_LIBFLOW_SILENCEJUDGE_H_
+
+#include <chrono>
+#include <vector>
+
+#include "libflow/agenttable.h"
+
+namespace fireflytrestle {
+
+/// \brief Tells which agents have fallen silent, and whether this process is in
+/// a position to say so.
+///
+/// A process that was paused, or that hears of too few agents, has no view of
+/// its own to judge others by.
+class SilenceJudge {
+ public:
+  /// Three reports, one every kReportInterval, and the time of a busy moment.
+  static constexpr std::chrono::milliseconds kSilence{350};
+  static constexpr std::chrono::milliseconds kReportInterval{100};
+  /// A longer gap between two ticks, which come every 50 ms, is a pause.
+  static constexpr std::chrono::milliseconds kPauseGap{200};
+
+  /// Returns the agents whose silence begins now, and marks them. Agents that
+  /// announced their stop are left out for kStopGrace.
+  std::vector<AgentPeerPtr> OnTick(const AgentTable& agents, TimePoint now);
+
+  /// Whether the silence of others may be acted on.
+  bool IsTrusted(TimePoint now) const;
+
+ private:
+  /// A restart after an announced stop takes less.
+  static constexpr std::chrono::milliseconds kStopGrace{3000};
+
+  TimePoint m_last_tick{};
+  TimePoint m_resumed{};
+  bool m_quorum = false;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBFLOW_SILENCEJUDGE_H_
--- /dev/null
+++ b/src/libnet/flowreport.cpp
@@ -0,0 +1,61 @@
+#include "libnet/flowreport.h"
+
+#include <algorithm>
+
+#include "libbase/logger.h"
+#include "libnet/metricswriter.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+using Kind = FlowDecision::Kind;
+
+LogLevel LevelOf(Kind kind) {
+  switch (kind) {
+    case Kind::kReset:
+    case Kind::kPeerSilent:
+      return LogLevel::kWarning;
+    default:
+      return LogLevel::kInfo;
+  }
+}
+
+std::string FlowName(const FlowTuple& tuple) {
+  return ToString(tuple.caller) + ">" + ToString(tuple.route);
+}
+
+}  // namespace
+
+void FlowReport::Record(const FlowDecision& decision) {
+  {
+    const std::scoped_lock lock(m_mutex);
+    ++m_counts[{decision.kind, decision.reason}];
+  }
+  const auto age = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(decision.report_age.count(), 0));
+  m_logger->Write(LevelOf(decision.kind), ToString(decision.kind),
+                  decision.reason,
+                  {{LogKey::kFlow, decision.tuple == FlowTuple{}
+                                       ? std::string()
+                                       : FlowName(decision.tuple)},
+                   {LogKey::kPeer, decision.peer == SocketAddress{}
+                                       ? std::string()
+                                       : ToString(decision.peer)},
+                   {LogKey::kService, std::string(decision.service)},
+                   {LogKey::kRunning, std::uint64_t{decision.running}},
+                   {LogKey::kReportAgeMs, age},
+                   {LogKey::kVersion, decision.configuration_version}});
+}
+
+void FlowReport::WriteMetrics(MetricsWriter* metrics) const {
+  const std::scoped_lock lock(m_mutex);
+  for (const auto& [key, count] : m_counts) {
+    metrics->Counter(
+        "flow_decisions_total", "Decisions on flows by kind and reason",
+        static_cast<double>(count),
+        {{"decision", ToString(key.first)}, {"reason", key.second}});
+  }
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/libnet/flowsockets.h
@@ -0,0 +1,58 @@
+#ifndef FIREFLYTRESTLE_LIBNET_FLOWSOCKETS_H_
+#define FIREFLYTRESTLE_LIBNET_FLOWSOCKETS_H_
+
+#include <cstdint>
+#include <memory>
+
+#include "libflow/flowoutput.h"
+
+namespace fireflytrestle {
+
+class FlowReport;
+class PacketCodec;
+class UdpSocket;
+
+/// \brief Sends what decisions on flows ask for through UDP sockets.
+class FlowSockets : public FlowOutput {
+ public:
+  struct Peers {
+    /// Port of every caller's address for packets.
+    std::uint16_t caller_port = 0;
+    /// The upstream beside this process; unused by balancers.
+    SocketAddress upstream;
+  };
+
+  /// \p node sends to other processes and callers, \p upstream to the upstream;
+  /// null for balancers. All must outlive the object.
+  FlowSockets(UdpSocket* node,
+              UdpSocket* upstream,
+              const Peers& peers,
+              const PacketCodec& codec,
+              FlowReport* report);
+
+  void SendToNode(const SocketAddress& node,
+                  const NodeMessage& message) override;
+  void SendToUpstream(std::span<const std::uint8_t> packet) override;
+  void SendToCaller(const SocketAddress& caller,
+                    std::span<const std::uint8_t> packet) override;
+  void SendReset(const FlowTuple& tuple, std::uint32_t sequence) override;
+  void Report(const FlowDecision& decision) override;
+
+  /// Sends all that is queued.
+  void Flush();
+
+ private:
+  static void Queue(UdpSocket* socket,
+                    const SocketAddress& destination,
+                    std::span<const std::uint8_t> packet);
+
+  UdpSocket* m_node;
+  UdpSocket* m_upstream;
+  Peers m_peers;
+  const PacketCodec& m_codec;
+  FlowReport* m_report;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBNET_FLOWSOCKETS_H_
--- /dev/null
+++ b/src/libnet/storereader.cpp
@@ -0,0 +1,150 @@
+#include "libnet/storereader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libbase/clock.h"
+#include "libbase/logger.h"
+#include "libnet/metricswriter.h"
+#include "libnet/systemrandom.h"
+#include "libsite/siteview.h"
+#include "libsite/storeclient.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+/// Resolution of retries and of the grace of missing entries.
+constexpr std::chrono::milliseconds kTickInterval{100};
+
+const char* EventName(SiteChange::Kind kind) {
+  switch (kind) {
+    case SiteChange::Kind::kConfiguration:
+      return "configuration_in_force";
+    case SiteChange::Kind::kConfigurationOlder:
+      return "configuration_older";
+    case SiteChange::Kind::kZoneOut:
+      return "zone_out";
+    case SiteChange::Kind::kZoneIn:
+      return "zone_in";
+    case SiteChange::Kind::kUpstreamChanged:
+      return "upstream_changed";
+    case SiteChange::Kind::kUpstreamMissing:
+      return "upstream_missing";
+    case SiteChange::Kind::kUpstreamGone:
+      return "upstream_gone";
+    case SiteChange::Kind::kUnreadable:
+      return "item_unreadable";
+  }
+  return "site_change";
+}
+
+}  // namespace
+
+StoreReader::StoreReader(const std::vector<std::string>& prefixes,
+                         StoreClient* client,
+                         const RecordDecoder& decoder,
+                         const Clock& clock,
+                         Logger* logger,
+                         Publish publish)
+    : m_client(client),
+      m_clock(clock),
+      m_logger(logger),
+      m_publish(std::move(publish)),
+      m_random(DrawSeed()),
+      m_state(decoder,
+              [this](const SiteChange& change) { LogChange(change); }) {
+  for (const std::string& prefix : prefixes) {
+    m_followers.push_back(
+        std::make_unique<StoreFollower>(prefix, &m_state, &m_random));
+  }
+}
+
+void StoreReader::Start() {
+  QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] { Tick(); });
+  m_timer.start(kTickInterval);
+  Tick();
+}
+
+void StoreReader::Tick() {
+  if (m_state.Expire(m_clock.Now())) {
+    m_publish(m_state.View());
+  }
+  for (const auto& follower : m_followers) {
+    Read(follower.get());
+  }
+}
+
+void StoreReader::Read(StoreFollower* follower) {
+  const StoreFollower::Read read = follower->OnTick(m_clock.Now());
+  auto handler = [this, follower,
+                  number = read.number](const StoreAnswer& answer) {
+    OnAnswer(follower, number, answer);
+  };
+  switch (read.kind) {
+    case StoreFollower::Read::Kind::kNone:
+      return;
+    case StoreFollower::Read::Kind::kList:
+      m_client->List(follower->prefix(), read.after_key, std::move(handler));
+      break;
+    case StoreFollower::Read::Kind::kWatch:
+      m_client->Watch(follower->prefix(), read.after, read.wait,
+                      std::move(handler));
+      break;
+  }
+  ++m_reads;
+}
+
+void StoreReader::OnAnswer(StoreFollower* follower,
+                           std::uint64_t number,
+                           const StoreAnswer& answer) {
+  const bool changed = follower->OnAnswer(number, answer, m_clock.Now());
+  if (!answer.problem.empty()) {
+    ++m_failures;
+    m_logger->Write(LogLevel::kWarning, "store_read_failed",
+                    "the store gave no usable answer",
+                    {{LogKey::kSource, follower->prefix()},
+                     {LogKey::kError, answer.problem}});
+  }
+  const bool reached =
+      std::all_of(m_followers.begin(), m_followers.end(),
+                  [](const auto& each) { return each->reached(); });
+  if (reached != m_reached) {
+    m_reached = reached;
+    m_logger->Write(
+        reached ? LogLevel::kInfo : LogLevel::kWarning,
+        reached ? "store_reached" : "store_lost",
+        reached ? "the store answers" : "the last known view stays in force",
+        {{LogKey::kSource, follower->prefix()}});
+  }
+  if (changed) {
+    m_publish(m_state.View());
+  }
+  Read(follower);
+}
+
+void StoreReader::LogChange(const SiteChange& change) {
+  m_logger->Write(
+      LogLevel::kInfo, EventName(change.kind), change.detail,
+      {{LogKey::kSource, change.subject},
+       {LogKey::kRevision, static_cast<std::uint64_t>(change.revision)}});
+}
+
+void StoreReader::WriteMetrics(MetricsWriter* metrics) const {
+  metrics->Counter("store_reads_total", "Reads of the store",
+                   static_cast<double>(m_reads));
+  metrics->Counter("store_read_failures_total",
+                   "Reads of the store without a usable answer",
+                   static_cast<double>(m_failures));
+  metrics->Gauge("store_reached", "1 while the store answers",
+                 m_reached ? 1 : 0);
+  const std::shared_ptr<const SiteView> view = m_state.View();
+  metrics->Gauge("configuration_version", "Version of the configuration",
+                 static_cast<double>(view->configuration_version));
+  metrics->Gauge("site_upstreams", "Upstreams registered in the store",
+                 static_cast<double>(view->upstreams.size()));
+  metrics->Gauge("site_zones_out", "Zones that operators have taken out",
+                 static_cast<double>(view->zones_out.size()));
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/libnet/storereader.h
@@ -0,0 +1,64 @@
+#ifndef FIREFLYTRESTLE_LIBNET_STOREREADER_H_
+#define FIREFLYTRESTLE_LIBNET_STOREREADER_H_
+
+#include <QTimer>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "libbase/seededrandom.h"
+#include "libsite/sitestate.h"
+#include "libsite/storefollower.h"
+
+namespace fireflytrestle {
+
+class Clock;
+class Logger;
+class MetricsWriter;
+class StoreClient;
+
+/// \brief Follows parts of the store on the event loop of the control thread
+/// and publishes the site's view whenever it changes.
+class StoreReader {
+ public:
+  using Publish = std::function<void(std::shared_ptr<const SiteView>)>;
+
+  /// All references must outlive the reader.
+  StoreReader(const std::vector<std::string>& prefixes,
+              StoreClient* client,
+              const RecordDecoder& decoder,
+              const Clock& clock,
+              Logger* logger,
+              Publish publish);
+
+  void Start();
+
+  bool has_configuration() const { return m_state.has_configuration(); }
+  void WriteMetrics(MetricsWriter* metrics) const;
+
+ private:
+  void Tick();
+  void Read(StoreFollower* follower);
+  void OnAnswer(StoreFollower* follower,
+                std::uint64_t number,
+                const StoreAnswer& answer);
+  void LogChange(const SiteChange& change);
+
+  StoreClient* m_client;
+  const Clock& m_clock;
+  Logger* m_logger;
+  Publish m_publish;
+  SeededRandom m_random;
+  SiteState m_state;
+  std::vector<std::unique_ptr<StoreFollower>> m_followers;
+  std::uint64_t m_reads = 0;
+  std::uint64_t m_failures = 0;
+  bool m_reached = false;
+  QTimer m_timer;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBNET_STOREREADER_H_
--- /dev/null
+++ b/src/libsite/siterecord.h
@@ -0,0 +1,40 @@
+#ifndef FIREFLYTRESTLE_LIBSITE_SITERECORD_H_
+#define FIREFLYTRESTLE_LIBSITE_SITERECORD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libsite/routesettings.h"
+#include "libsite/servicelimits.h"
+#include "libsite/upstreamentry.h"
+
+namespace fireflytrestle {
+
+/// \brief The operators' configuration as published.
+struct SiteConfiguration {
+  std::uint64_t version = 0;
+  std::vector<RouteSettings> routes;
+  std::map<std::string, ServiceLimits> services;
+  std::chrono::milliseconds flow_idle_timeout{0};
+
+  bool operator==(const SiteConfiguration&) const = default;
+};
+
+/// \brief Operators have taken a zone out.
+struct ZoneOut {
+  std::string zone;
+
+  bool operator==(const ZoneOut&) const = default;
+};
+
+/// What one item of the store says; monostate for an item without meaning here.
+using SiteRecord =
+    std::variant<std::monostate, SiteConfiguration, ZoneOut, UpstreamEntry>;
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBSITE_SITERECORD_H_
--- /dev/null
+++ b/src/libsite/sitestate.cpp
@@ -0,0 +1,173 @@
+#include "libsite/sitestate.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <set>
+#include <utility>
+
+#include "libbase/fault.h"
+#include "libsite/recorddecoder.h"
+#include "libsite/siteview.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+using Kind = SiteChange::Kind;
+
+std::string Describe(const UpstreamEntry& entry) {
+  return entry.service + " at " + ToString(entry.address) + " in " +
+         entry.zone + (entry.draining ? ", draining" : ", ready") +
+         ", cold for " + std::to_string(entry.cold_left.count()) + " ms";
+}
+
+}  // namespace
+
+SiteState::SiteState(const RecordDecoder& decoder, Listener listener)
+    : m_decoder(decoder), m_listener(std::move(listener)) {}
+
+bool SiteState::Apply(const StoreItem& item, TimePoint now) {
+  const auto [position, added] = m_items.try_emplace(item.key);
+  Known& known = position->second;
+  if (!added && item.revision <= known.revision) {
+    return false;
+  }
+  if (!item.value) {
+    known.revision = item.revision;
+    return Remove(item.key, &known, item.revision, now);
+  }
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
+        BOOST_LEAF_AUTO(record, m_decoder.Decode(item.key, *item.value));
+        return Put(item.key, &known, std::move(record), item.revision, now);
+      },
+      [&](const Fault& fault) {
+        known.revision = item.revision;
+        m_listener({Kind::kUnreadable, item.key, fault.problem, item.revision});
+        return Remove(item.key, &known, item.revision, now);
+      },
+      [&] {
+        known.revision = item.revision;
+        m_listener(
+            {Kind::kUnreadable, item.key, "unknown error", item.revision});
+        return Remove(item.key, &known, item.revision, now);
+      });
+}
+
+bool SiteState::Replace(const std::string& prefix,
+                        const std::vector<StoreItem>& items,
+                        Revision as_of,
+                        TimePoint now) {
+  bool changed = false;
+  std::set<std::string> present;
+  for (const StoreItem& item : items) {
+    present.insert(item.key);
+    changed |= Apply(item, now);
+  }
+  for (auto& [key, known] : m_items) {
+    if (key.starts_with(prefix) && !present.contains(key) && known.present &&
+        known.revision <= as_of) {
+      known.revision = as_of;
+      changed |= Remove(key, &known, as_of, now);
+    }
+  }
+  return changed;
+}
+
+bool SiteState::Expire(TimePoint now) {
+  bool changed = false;
+  for (auto& [key, known] : m_items) {
+    auto* entry = std::get_if<UpstreamEntry>(&known.record);
+    if (entry != nullptr && entry->missing_since &&
+        now - *entry->missing_since >= kMissingGrace) {
+      m_listener(
+          {Kind::kUpstreamGone, entry->id, Describe(*entry), known.revision});
+      known.record = std::monostate();
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+bool SiteState::Remove(const std::string& /*key*/,
+                       Known* known,
+                       Revision revision,
+                       TimePoint now) {
+  known->present = false;
+  if (const auto* zone = std::get_if<ZoneOut>(&known->record)) {
+    m_listener({Kind::kZoneIn, zone->zone, "", revision});
+    known->record = std::monostate();
+    return true;
+  }
+  if (auto* entry = std::get_if<UpstreamEntry>(&known->record)) {
+    if (!entry->missing_since) {
+      entry->missing_since = now;
+      m_listener(
+          {Kind::kUpstreamMissing, entry->id, Describe(*entry), revision});
+    }
+    return true;
+  }
+  return false;
+}
+
+bool SiteState::Put(const std::string& key,
+                    Known* known,
+                    SiteRecord record,
+                    Revision revision,
+                    TimePoint now) {
+  known->present = true;
+  known->revision = revision;
+  if (auto* configuration = std::get_if<SiteConfiguration>(&record)) {
+    if (configuration->version <= m_configuration.version) {
+      m_listener({Kind::kConfigurationOlder, key,
+                  std::to_string(configuration->version), revision});
+      return false;
+    }
+    m_configuration = std::move(*configuration);
+    m_listener({Kind::kConfiguration, std::to_string(m_configuration.version),
+                std::to_string(m_configuration.routes.size()) + " routes",
+                revision});
+    return true;
+  }
+  if (const auto* zone = std::get_if<ZoneOut>(&record)) {
+    m_listener({Kind::kZoneOut, zone->zone, "", revision});
+  }
+  if (auto* entry = std::get_if<UpstreamEntry>(&record)) {
+    entry->revision = revision;
+    entry->learned = now;
+    m_listener({Kind::kUpstreamChanged, entry->id, Describe(*entry), revision});
+  }
+  known->record = std::move(record);
+  return !std::holds_alternative<std::monostate>(known->record);
+}
+
+std::shared_ptr<const SiteView> SiteState::View() const {
+  auto view = std::make_shared<SiteView>();
+  view->configuration_version = m_configuration.version;
+  for (const RouteSettings& route : m_configuration.routes) {
+    view->routes.emplace(route.address, route);
+  }
+  view->services = m_configuration.services;
+  view->flow_idle_timeout = m_configuration.flow_idle_timeout;
+  for (const auto& [key, known] : m_items) {
+    if (const auto* zone = std::get_if<ZoneOut>(&known.record)) {
+      view->zones_out.insert(zone->zone);
+    }
+    const auto* entry = std::get_if<UpstreamEntry>(&known.record);
+    if (entry == nullptr) {
+      continue;
+    }
+    const auto [position, added] =
+        view->upstreams.emplace(entry->address.ipv4, *entry);
+    const UpstreamEntry& present = position->second;
+    const auto rank = [](const UpstreamEntry& each) {
+      return std::tuple(!each.missing_since, each.started_unix_ms,
+                        each.revision);
+    };
+    if (!added && rank(present) < rank(*entry)) {
+      position->second = *entry;
+    }
+  }
+  return view;
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/libsite/siteview.h
@@ -0,0 +1,39 @@
+#ifndef FIREFLYTRESTLE_LIBSITE_SITEVIEW_H_
+#define FIREFLYTRESTLE_LIBSITE_SITEVIEW_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "libsite/routesettings.h"
+#include "libsite/servicelimits.h"
+#include "libsite/upstreamentry.h"
+
+namespace fireflytrestle {
+
+struct SocketAddressHash {
+  std::size_t operator()(const SocketAddress& address) const {
+    return (std::size_t{address.ipv4} << 16U) ^ address.port;
+  }
+};
+
+/// \brief Immutable state of routes, services, upstreams and zones, as the
+/// traffic thread needs it.
+struct SiteView {
+  /// Version of the configuration in force; 0 before the first.
+  std::uint64_t configuration_version = 0;
+  std::unordered_map<SocketAddress, RouteSettings, SocketAddressHash> routes;
+  std::map<std::string, ServiceLimits> services;
+  /// Upstreams by the address of their instance; of several entries with one
+  /// address the one started last.
+  std::map<std::uint32_t, UpstreamEntry> upstreams;
+  std::set<std::string> zones_out;
+  /// A flow that is idle for longer may be forgotten.
+  std::chrono::milliseconds flow_idle_timeout{0};
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBSITE_SITEVIEW_H_
--- /dev/null
+++ b/src/libsite/storefollower.cpp
@@ -0,0 +1,112 @@
+#include "libsite/storefollower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libbase/randomsource.h"
+#include "libsite/sitestate.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Pause after a failed read, doubled up to the longest one. Changes have to
+/// be in force 3 s after the store serves again.
+constexpr milliseconds kShortestRetry{100};
+constexpr milliseconds kLongestRetry{800};
+constexpr int kMostDoublings = 3;
+
+}  // namespace
+
+StoreFollower::StoreFollower(std::string prefix,
+                             SiteState* state,
+                             RandomSource* random)
+    : m_prefix(std::move(prefix)), m_state(state), m_random(random) {}
+
+StoreFollower::Read StoreFollower::OnTick(TimePoint now) {
+  if (m_waiting || now < m_next) {
+    return {};
+  }
+  m_waiting = true;
+  Read read;
+  read.number = ++m_number;
+  if (!m_listed) {
+    read.kind = Read::Kind::kList;
+    read.after_key = m_pages.empty() ? std::string() : m_pages.back().key;
+    return read;
+  }
+  read.kind = Read::Kind::kWatch;
+  read.after = m_position;
+  // After a failure the first answer must come at once, to tell that the store
+  // serves again.
+  read.wait = m_failures > 0 ? milliseconds(0) : kWatchWait;
+  return read;
+}
+
+bool StoreFollower::OnAnswer(std::uint64_t number,
+                             const StoreAnswer& answer,
+                             TimePoint now) {
+  if (number != m_number || !m_waiting) {
+    return false;
+  }
+  m_waiting = false;
+  switch (answer.outcome) {
+    case StoreAnswer::Outcome::kFailed:
+      OnFailure(now);
+      return false;
+    case StoreAnswer::Outcome::kHistoryGone:
+      m_listed = false;
+      m_pages.clear();
+      m_last_contact = now;
+      return false;
+    case StoreAnswer::Outcome::kItems:
+      break;
+  }
+  m_failures = 0;
+  m_last_contact = now;
+  return m_listed ? OnEvents(answer, now) : OnPage(answer, now);
+}
+
+bool StoreFollower::OnPage(const StoreAnswer& answer, TimePoint now) {
+  // Pages are not a snapshot: changes since the first one are watched for.
+  if (m_pages.empty()) {
+    m_list_as_of = answer.as_of;
+  }
+  m_pages.insert(m_pages.end(), answer.items.begin(), answer.items.end());
+  if (answer.more && !answer.items.empty()) {
+    return false;
+  }
+  const std::vector<StoreItem> items = std::exchange(m_pages, {});
+  if (m_list_as_of < m_position) {
+    // An answer from before a newer one; what is known stays.
+    m_next = now + kShortestRetry;
+    return false;
+  }
+  m_listed = true;
+  m_position = m_list_as_of;
+  return m_state->Replace(m_prefix, items, m_list_as_of, now);
+}
+
+bool StoreFollower::OnEvents(const StoreAnswer& answer, TimePoint now) {
+  bool changed = false;
+  for (const StoreItem& item : answer.items) {
+    changed |= m_state->Apply(item, now);
+  }
+  m_position = std::max(m_position, answer.as_of);
+  return changed;
+}
+
+void StoreFollower::OnFailure(TimePoint now) {
+  ++m_failures;
+  const int doublings = std::min(m_failures - 1, kMostDoublings);
+  const milliseconds pause =
+      std::min(kShortestRetry * (1 << doublings), kLongestRetry);
+  // Spread, so that processes that failed together do not return together.
+  m_next =
+      now + pause +
+      milliseconds(m_random->Below(static_cast<std::uint64_t>(pause.count())));
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/libsite/storefollower.h
@@ -0,0 +1,77 @@
+#ifndef FIREFLYTRESTLE_LIBSITE_STOREFOLLOWER_H_
+#define FIREFLYTRESTLE_LIBSITE_STOREFOLLOWER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "libbase/clock.h"
+#include "libsite/storeanswer.h"
+
+namespace fireflytrestle {
+
+class RandomSource;
+class SiteState;
+
+/// \brief Decides when to list a part of the store and when to watch it for
+/// changes.
+///
+/// One read is under way at a time. The adapter calls OnTick(), performs the
+/// read that it returns and reports the answer to OnAnswer().
+class StoreFollower {
+ public:
+  struct Read {
+    enum class Kind { kNone, kList, kWatch } kind = Kind::kNone;
+    /// Counts the reads, so that a late answer is not taken for a newer one.
+    std::uint64_t number = 0;
+    /// Page of a list to read: keys after this one.
+    std::string after_key;
+    /// Watch for changes after this revision.
+    Revision after{};
+    std::chrono::milliseconds wait{0};
+  };
+
+  /// How long a watch waits. A connection that went silent is noticed only at
+  /// its end, and changes must be in force within 3 s.
+  static constexpr std::chrono::milliseconds kWatchWait{1200};
+  /// A read that is not answered this long after its wait has failed.
+  static constexpr std::chrono::milliseconds kAnswerTimeout{800};
+
+  StoreFollower(std::string prefix, SiteState* state, RandomSource* random);
+
+  /// Returns the next read if one is due.
+  Read OnTick(TimePoint now);
+
+  /// Takes the answer to a read. Returns whether the site's view changed.
+  bool OnAnswer(std::uint64_t number, const StoreAnswer& answer, TimePoint now);
+
+  const std::string& prefix() const { return m_prefix; }
+  /// When a read last succeeded; the epoch before the first time.
+  TimePoint last_contact() const { return m_last_contact; }
+  bool reached() const { return m_failures == 0 && m_listed; }
+
+ private:
+  bool OnPage(const StoreAnswer& answer, TimePoint now);
+  bool OnEvents(const StoreAnswer& answer, TimePoint now);
+  void OnFailure(TimePoint now);
+
+  std::string m_prefix;
+  SiteState* m_state;
+  RandomSource* m_random;
+  bool m_listed = false;
+  bool m_waiting = false;
+  std::uint64_t m_number = 0;
+  TimePoint m_next{};
+  TimePoint m_last_contact{};
+  int m_failures = 0;
+  /// Watch from here.
+  Revision m_position{};
+  /// Pages of a listing under way.
+  std::vector<StoreItem> m_pages;
+  Revision m_list_as_of{};
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBSITE_STOREFOLLOWER_H_
