Do not reset open flows that a new balancer cannot find

Cause 1: a search hands the packet to every upstream of the service; one that had ended resets it, and the agent passed that reset on to the caller. Cause 2: a restarted balancer did not know an agent whose upstream had left the store but still served its flows, so the search came back empty and the flow was reset.

Ruled out: silence of the owner's agent (it reported all the time), a hand-back of an open flow (none in the log).

Change: an agent passes on a reset of its upstream only for flows that it holds; a search that finds nobody resets only when the view is confirmed by the store and the balancer has been up for a second; agents introduce new balancers to the balancers they know, which introduce them to agents without an entry.

--- a/src/flowbalancer/flowbalancerprocess.cpp
+++ b/src/flowbalancer/flowbalancerprocess.cpp
@@ -39,11 +39,14 @@
                *platform.decoder,
                clock,
                logger,
-               [this](std::shared_ptr<const SiteView> view) {
-                 m_thread.Post([this, view = std::move(view)] {
-                   m_worker->InstallView(view);
-                 });
-               }),
+               {[this](std::shared_ptr<const SiteView> view) {
+                  m_thread.Post([this, view = std::move(view)] {
+                    m_worker->InstallView(view);
+                  });
+                },
+                [this](TimePoint at) {
+                  m_thread.Post([this, at] { m_worker->ConfirmView(at); });
+                }}),
       m_signals([this] { BeginStop(); }) {}
 
 FlowBalancerProcess::~FlowBalancerProcess() {
--- a/src/flowbalancer/flowbalancerworker.h
+++ b/src/flowbalancer/flowbalancerworker.h
@@ -39,6 +39,7 @@
                      Gauges* gauges);
 
   void InstallView(std::shared_ptr<const SiteView> view);
+  void ConfirmView(TimePoint at) { m_router.ConfirmView(at); }
 
  private:
   void OnFrontend();
--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -93,11 +93,14 @@
   return work * (running + kLongFlowWeight * flows) / slots;
 }
 
-BalancerHeartbeat AgentPeer::MakeHeartbeat(Incarnation balancer,
-                                           TimePoint now) const {
+BalancerHeartbeat AgentPeer::MakeHeartbeat(
+    Incarnation balancer,
+    const std::vector<SocketAddress>& new_balancers,
+    TimePoint now) const {
   BalancerHeartbeat heartbeat;
   heartbeat.incarnation = balancer;
   if (!m_listed) {
+    heartbeat.new_balancers = new_balancers;
     return heartbeat;
   }
   heartbeat.entry_revision = m_entry_revision;
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "libbase/clock.h"
 #include "libbase/ids.h"
@@ -42,7 +43,10 @@
   double Load(bool long_lived, TimePoint now) const;
 
   /// What the agent must know of its upstream.
-  BalancerHeartbeat MakeHeartbeat(Incarnation balancer, TimePoint now) const;
+  BalancerHeartbeat MakeHeartbeat(
+      Incarnation balancer,
+      const std::vector<SocketAddress>& new_balancers,
+      TimePoint now) const;
 
   const SocketAddress& address() const { return m_address; }
   const std::string& service() const { return m_service; }
--- a/src/libflow/flowdecision.cpp
+++ b/src/libflow/flowdecision.cpp
@@ -15,7 +15,9 @@
     case FlowDecision::Kind::kReset:
       return "flow_reset";
     case FlowDecision::Kind::kReturned:
-      return "packet_returned";
+      return "open_returned";
+    case FlowDecision::Kind::kUnknownThere:
+      return "flow_unknown";
     case FlowDecision::Kind::kPeerSilent:
       return "peer_silent";
     case FlowDecision::Kind::kPeerBack:
--- a/src/libflow/flowdecision.h
+++ b/src/libflow/flowdecision.h
@@ -25,8 +25,10 @@
     kFound,
     /// The caller got a reset; the reason says why.
     kReset,
-    /// An agent handed a packet back.
+    /// An agent handed a SYN back.
     kReturned,
+    /// The upstream of an agent does not hold the flow.
+    kUnknownThere,
     /// An agent or its upstream stopped or resumed answering.
     kPeerSilent,
     kPeerBack,
--- a/src/libflow/flowkeeper.cpp
+++ b/src/libflow/flowkeeper.cpp
@@ -19,9 +19,14 @@
 using State = UpstreamFlow::State;
 
 constexpr milliseconds kSweepInterval{1000};
-/// A balancer without a heartbeat for this long is gone; four are sent a
-/// second.
-constexpr milliseconds kBalancerTimeout{2000};
+/// What a balancer said of the upstream holds for this long; it sends four
+/// heartbeats a second.
+constexpr milliseconds kHeartbeatValid{2000};
+/// A silent balancer still gets reports for this long: after a restart it has
+/// to learn of upstreams that the store no longer lists.
+constexpr milliseconds kBalancerTimeout{30000};
+/// For this long a balancer counts as new.
+constexpr milliseconds kIntroduceFor{3000};
 /// Time for the last packets of a flow that is closing or was never confirmed.
 constexpr milliseconds kClosingTime{3000};
 
@@ -64,12 +69,12 @@
     return;
   }
   const FlowTuple tuple{packet->source, packet->destination};
-  if (message.service != m_settings.service) {
-    Return(source, ReturnReason::kWrongService, tuple, message.search,
-           message.packet);
-    return;
-  }
-  if (packet->IsOpening()) {
+  const bool own_service = message.service == m_settings.service;
+  if (!own_service && !packet->IsOpening()) {
+    SendUnknown(source, tuple, ToString(ReturnReason::kWrongService));
+  } else if (!own_service) {
+    Return(source, ReturnReason::kWrongService, tuple, message.packet);
+  } else if (packet->IsOpening()) {
     OnOpening(source, message, *packet, tuple, now);
   } else {
     OnFlowPacket(source, message, *packet, tuple, now);
@@ -88,11 +93,11 @@
   if (!copy) {
     const ReturnReason refusal = Refusal(now);
     if (refusal != ReturnReason::kCount) {
-      Return(source, refusal, tuple, false, message.packet);
+      Return(source, refusal, tuple, message.packet);
       return;
     }
     if (!m_cold.TryAdmit(now)) {
-      Return(source, ReturnReason::kUpstreamCold, tuple, false, message.packet);
+      Return(source, ReturnReason::kUpstreamCold, tuple, message.packet);
       return;
     }
     UpstreamFlow& flow = m_flows[tuple];
@@ -114,8 +119,7 @@
                               const FlowTuple& tuple,
                               TimePoint now) {
   if (m_phase == AgentPhase::kUpstreamDown) {
-    Return(source, ReturnReason::kFlowUnknown, tuple, message.search,
-           message.packet);
+    SendUnknown(source, tuple, ToString(m_phase));
     return;
   }
   const auto [position, added] = m_flows.try_emplace(tuple);
@@ -130,8 +134,7 @@
     const std::uint32_t ahead = packet.acknowledgment - flow.upstream_sequence;
     if (!flow.answered || ahead > 1) {
       m_flows.erase(position);
-      Return(source, ReturnReason::kFlowUnknown, tuple, message.search,
-             message.packet);
+      SendUnknown(source, tuple, "opened_elsewhere");
       return;
     }
     Confirm(tuple, &flow);
@@ -175,10 +178,20 @@
     flow.state = State::kUnconfirmed;
   }
   flow.last_packet = now;
+  if (flow.state == State::kUnconfirmed && packet->reset) {
+    // An upstream also resets flows that it has ended or never had, and the
+    // caller's flow may be open elsewhere.
+    const SocketAddress balancer = flow.balancer;
+    m_flows.erase(position);
+    if (balancer != SocketAddress{}) {
+      SendUnknown(balancer, tuple, "reset_by_upstream");
+    }
+    return;
+  }
   if (packet->syn) {
     flow.answered = true;
     flow.upstream_sequence = packet->sequence;
-  } else if (flow.state == State::kUnconfirmed && !packet->reset) {
+  } else if (flow.state == State::kUnconfirmed) {
     Confirm(tuple, &flow);
   }
   if (packet->data_bytes > 0) {
@@ -206,14 +219,14 @@
     if (flow.state == State::kOpening && !flow.answered) {
       m_flows.erase(position);
     }
-    Return(flow.balancer, ReturnReason::kUpstreamFull, tuple, false, datagram);
+    Return(flow.balancer, ReturnReason::kUpstreamFull, tuple, datagram);
     return;
   }
   m_flows.erase(position);
   if (flow.state == State::kOpen) {
     Reset(tuple, flow, "upstream_lost_flow");
   } else if (flow.state == State::kUnconfirmed) {
-    Return(flow.balancer, ReturnReason::kFlowUnknown, tuple, true, datagram);
+    SendUnknown(flow.balancer, tuple, "handed_back");
   }
 }
 
@@ -230,7 +243,7 @@
   const bool zone_out = std::any_of(
       m_balancers.begin(), m_balancers.end(), [&](const auto& item) {
         return item.second.heartbeat.zone_out &&
-               now - item.second.heard < kBalancerTimeout;
+               now - item.second.heard < kHeartbeatValid;
       });
   return zone_out ? ReturnReason::kZoneOut : ReturnReason::kCount;
 }
@@ -245,9 +258,11 @@
   balancer.heartbeat = heartbeat;
   balancer.heard = now;
   if (restarted) {
+    balancer.appeared = now;
     Report(Kind::kPeerBack, {}, source, "heartbeat");
-    SendAllFlows(source);
+    SendAllFlows(source, now);
   }
+  Introduce(heartbeat.new_balancers, now);
   if (heartbeat.entry_revision != Revision{} &&
       heartbeat.entry_revision >= m_entry_revision) {
     if (heartbeat.entry_revision > m_entry_revision) {
@@ -260,6 +275,19 @@
   }
 }
 
+void FlowKeeper::Introduce(const std::vector<SocketAddress>& balancers,
+                           TimePoint now) {
+  for (const SocketAddress& address : balancers) {
+    const auto [position, added] = m_balancers.try_emplace(address);
+    if (added) {
+      position->second.appeared = now;
+      position->second.heard = now;
+      Report(Kind::kPeerBack, {}, address, "introduced");
+      SendAllFlows(address, now);
+    }
+  }
+}
+
 void FlowKeeper::OnUpstreamDown(TimePoint now) {
   SetPhase(AgentPhase::kUpstreamDown, now);
   for (const auto& [tuple, flow] : m_flows) {
@@ -318,13 +346,19 @@
                     [](const auto& item) { return item.second.running; }));
 }
 
-AgentStatus FlowKeeper::MakeStatus() const {
+AgentStatus FlowKeeper::MakeStatus(TimePoint now) const {
   AgentStatus status;
   status.incarnation = m_settings.incarnation;
   status.service = m_settings.service;
   status.zone = m_settings.zone;
   status.phase = m_phase;
   status.running = running();
+  for (const auto& [address, balancer] : m_balancers) {
+    if (now - balancer.appeared < kIntroduceFor &&
+        status.new_balancers.size() < kMaxNewBalancers) {
+      status.new_balancers.push_back(address);
+    }
+  }
   for (const auto& [tuple, flow] : m_flows) {
     const bool counts =
         flow.state == State::kOpening || flow.state == State::kOpen;
@@ -336,7 +370,7 @@
 
 void FlowKeeper::SendStatus(TimePoint now) {
   m_next_status = now + SilenceJudge::kReportInterval;
-  AgentStatus status = MakeStatus();
+  AgentStatus status = MakeStatus(now);
   do {
     const std::size_t count = std::min(m_opened.size(), kMaxFlowsPerStatus);
     status.opened.assign(m_opened.end() - static_cast<std::ptrdiff_t>(count),
@@ -353,8 +387,8 @@
   } while (!m_opened.empty());
 }
 
-void FlowKeeper::SendAllFlows(const SocketAddress& balancer) {
-  AgentStatus status = MakeStatus();
+void FlowKeeper::SendAllFlows(const SocketAddress& balancer, TimePoint now) {
+  AgentStatus status = MakeStatus(now);
   for (const auto& [tuple, flow] : m_flows) {
     if (flow.state != State::kOpen) {
       continue;
@@ -383,10 +417,16 @@
 void FlowKeeper::Return(const SocketAddress& balancer,
                         ReturnReason reason,
                         const FlowTuple& tuple,
-                        bool search,
                         std::span<const std::uint8_t> packet) {
   Report(Kind::kReturned, tuple, balancer, ToString(reason));
-  m_output->SendToNode(balancer, ReturnMessage{reason, search, packet});
+  m_output->SendToNode(balancer, ReturnMessage{reason, packet});
+}
+
+void FlowKeeper::SendUnknown(const SocketAddress& balancer,
+                             const FlowTuple& tuple,
+                             const char* reason) {
+  Report(Kind::kUnknownThere, tuple, balancer, reason);
+  m_output->SendToNode(balancer, FlowUnknownMessage{tuple});
 }
 
 void FlowKeeper::Report(FlowDecision::Kind kind,
--- a/src/libflow/flowkeeper.h
+++ b/src/libflow/flowkeeper.h
@@ -67,6 +67,8 @@
  private:
   struct Balancer {
     BalancerHeartbeat heartbeat;
+    /// When its present incarnation was first heard of.
+    TimePoint appeared;
     TimePoint heard;
   };
 
@@ -92,8 +94,10 @@
   void Return(const SocketAddress& balancer,
               ReturnReason reason,
               const FlowTuple& tuple,
-              bool search,
               std::span<const std::uint8_t> packet);
+  void SendUnknown(const SocketAddress& balancer,
+                   const FlowTuple& tuple,
+                   const char* reason);
   /// Returns why the upstream gets no new flow; kCount if it may.
   ReturnReason Refusal(TimePoint now) const;
   void Confirm(const FlowTuple& tuple, UpstreamFlow* flow);
@@ -105,9 +109,10 @@
               const SocketAddress& peer,
               const char* reason) const;
   void SetPhase(AgentPhase phase, TimePoint now);
-  AgentStatus MakeStatus() const;
+  AgentStatus MakeStatus(TimePoint now) const;
   void SendStatus(TimePoint now);
-  void SendAllFlows(const SocketAddress& balancer);
+  void SendAllFlows(const SocketAddress& balancer, TimePoint now);
+  void Introduce(const std::vector<SocketAddress>& balancers, TimePoint now);
   void Sweep(TimePoint now);
 
   Settings m_settings;
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -7,6 +7,7 @@
 #include "libflow/agentselector.h"
 #include "libflow/flowoutput.h"
 #include "libflow/flowpacket.h"
+#include "libflow/nodemessagecodec.h"
 #include "libflow/packetcodec.h"
 
 namespace fireflytrestle {
@@ -23,6 +24,11 @@
 /// A copy of a SYN that comes this long after it shows that the first agent
 /// does not answer: callers repeat after 200 ms, an answer takes under 20 ms.
 constexpr milliseconds kUnanswered{120};
+/// An older view may lack an upstream that holds flows by now.
+constexpr milliseconds kViewAge{2500};
+/// By then, agents that the store no longer lists have heard of a new balancer
+/// and reported to it.
+constexpr milliseconds kIntroductionTime{1000};
 /// Agents that one SYN may go to.
 constexpr std::uint8_t kMaxPlacements = 4;
 /// Further placements: 30% of the new flows, and a steady minimum.
@@ -51,6 +57,9 @@
 void FlowRouter::InstallView(std::shared_ptr<const SiteView> view,
                              TimePoint now) {
   m_view = std::move(view);
+  if (m_first_view == TimePoint{}) {
+    m_first_view = now;
+  }
   m_agents.Install(*m_view, now);
   SendHeartbeats(now);
 }
@@ -270,6 +279,8 @@
     On(source, *status, now);
   } else if (const auto* returned = std::get_if<ReturnMessage>(&message)) {
     On(source, *returned, now);
+  } else if (const auto* gone = std::get_if<FlowUnknownMessage>(&message)) {
+    On(source, *gone, now);
   } else {
     Report(Kind::kDropped, {}, nullptr, "unexpected_message", now);
   }
@@ -280,16 +291,12 @@
                     TimePoint now) {
   const std::optional<FlowPacket> packet = m_codec.Decode(message.packet);
   const AgentPeerPtr agent = m_agents.Find(source);
-  if (!packet || !agent) {
+  if (!packet || !agent || !packet->IsOpening()) {
     Report(Kind::kDropped, {}, nullptr, "malformed", now);
     return;
   }
   const FlowTuple tuple{packet->source, packet->destination};
   Report(Kind::kReturned, tuple, agent.get(), ToString(message.reason), now);
-  if (!packet->IsOpening()) {
-    OnFlowUnknown(tuple, agent, now);
-    return;
-  }
   agent->OnReturned(message.reason, now);
   FlowEntry* entry = m_flows.Find(tuple);
   if (entry == nullptr || entry->owner != agent ||
@@ -305,16 +312,23 @@
   Place(tuple, entry, message.packet, now);
 }
 
-void FlowRouter::OnFlowUnknown(const FlowTuple& tuple,
-                               const AgentPeerPtr& agent,
-                               TimePoint now) {
+void FlowRouter::On(const SocketAddress& source,
+                    const FlowUnknownMessage& message,
+                    TimePoint now) {
+  const FlowTuple tuple = message.tuple;
+  const AgentPeerPtr agent = m_agents.Find(source);
   FlowEntry* entry = m_flows.Find(tuple);
-  if (entry == nullptr) {
+  if (!agent || entry == nullptr) {
     return;
   }
+  Report(Kind::kUnknownThere, tuple, agent.get(), "", now);
   if (entry->state == State::kSearching) {
     if (Remove(&entry->asked, agent) && entry->asked.empty()) {
-      Reset(tuple, entry->acknowledgment, "no_owner", agent.get(), now);
+      if (KnowsAllUpstreams(now)) {
+        Reset(tuple, entry->acknowledgment, "no_owner", agent.get(), now);
+      } else {
+        Report(Kind::kDropped, tuple, agent.get(), "no_owner_known", now);
+      }
       m_flows.Erase(tuple);
     }
     return;
@@ -325,6 +339,12 @@
   }
 }
 
+bool FlowRouter::KnowsAllUpstreams(TimePoint now) const {
+  return m_view->configuration_version != 0 &&
+         now - m_view_confirmed < kViewAge &&
+         now - m_first_view >= kIntroductionTime;
+}
+
 void FlowRouter::On(const SocketAddress& source,
                     const AgentStatus& status,
                     TimePoint now) {
@@ -338,6 +358,9 @@
   if (phase != status.phase) {
     Report(Kind::kPeerPhase, {}, agent.get(), ToString(status.phase), now);
   }
+  for (const SocketAddress& address : status.new_balancers) {
+    m_new_balancers[address] = now;
+  }
   for (const HeldFlow& held : status.opened) {
     FlowEntry* entry = m_flows.Add(held.tuple);
     if (entry == nullptr) {
@@ -387,7 +410,7 @@
       abandoned.push_back(tuple);
     } else if (entry.state == State::kSearching &&
                Remove(&entry.asked, agent) && entry.asked.empty() &&
-               entry.idempotent) {
+               entry.idempotent && KnowsAllUpstreams(now)) {
       Reset(tuple, entry.acknowledgment, "no_owner", agent.get(), now);
       abandoned.push_back(tuple);
     }
@@ -399,9 +422,18 @@
 
 void FlowRouter::SendHeartbeats(TimePoint now) {
   m_next_heartbeat = now + kHeartbeatInterval;
+  std::erase_if(m_new_balancers, [&](const auto& item) {
+    return now - item.second > kIntroductionTime;
+  });
+  std::vector<SocketAddress> introduced;
+  for (const auto& [address, at] : m_new_balancers) {
+    if (introduced.size() < kMaxNewBalancers) {
+      introduced.push_back(address);
+    }
+  }
   for (const auto& [address, agent] : m_agents.all()) {
-    m_output->SendToNode(address,
-                         agent->MakeHeartbeat(m_settings.incarnation, now));
+    m_output->SendToNode(
+        address, agent->MakeHeartbeat(m_settings.incarnation, introduced, now));
   }
 }
 
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -2,6 +2,7 @@
 #define FIREFLYTRESTLE_LIBFLOW_FLOWROUTER_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -43,6 +44,9 @@
 
   void InstallView(std::shared_ptr<const SiteView> view, TimePoint now);
 
+  /// The store confirmed the view, as it was at \p at.
+  void ConfirmView(TimePoint at) { m_view_confirmed = at; }
+
   /// Takes a packet of a caller.
   void OnCallerPacket(std::span<const std::uint8_t> datagram, TimePoint now);
 
@@ -96,9 +100,11 @@
   void On(const SocketAddress& source,
           const AgentStatus& status,
           TimePoint now);
-  void OnFlowUnknown(const FlowTuple& tuple,
-                     const AgentPeerPtr& agent,
-                     TimePoint now);
+  void On(const SocketAddress& source,
+          const FlowUnknownMessage& message,
+          TimePoint now);
+  /// Whether a flow that no known agent holds may be taken for lost.
+  bool KnowsAllUpstreams(TimePoint now) const;
   void AbandonFlowsOf(const AgentPeerPtr& agent, TimePoint now);
   void SendHeartbeats(TimePoint now);
 
@@ -106,6 +112,11 @@
   const PacketCodec& m_codec;
   FlowOutput* m_output;
   std::shared_ptr<const SiteView> m_view;
+  TimePoint m_view_confirmed{};
+  /// When the first view was installed; the epoch before.
+  TimePoint m_first_view{};
+  /// Balancers that agents introduced, and when they last did.
+  std::map<SocketAddress, TimePoint> m_new_balancers;
   AgentTable m_agents;
   FlowDirectory m_flows;
   SilenceJudge m_judge;
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -41,21 +41,23 @@
   kZoneOut,
   /// The agent is about to stop.
   kAgentStopping,
-  /// No SYN: the upstream does not hold the flow.
-  kFlowUnknown,
   kCount,
 };
 
 /// Returns the name in log lines and metrics.
 const char* ToString(ReturnReason reason);
 
-/// Agent to balancer: a packet that the upstream did not take.
+/// Agent to balancer: a SYN that the upstream did not take.
 struct ReturnMessage {
   ReturnReason reason = ReturnReason::kUpstreamFull;
-  bool search = false;
   std::span<const std::uint8_t> packet;
 };
 
+/// Agent to balancer: the upstream does not hold the flow of a packet.
+struct FlowUnknownMessage {
+  FlowTuple tuple;
+};
+
 /// Balancer to agent: liveness, and what the balancer's view says of the
 /// agent's upstream.
 struct BalancerHeartbeat {
@@ -70,6 +72,9 @@
   /// Requests a second, in thousandths, that the upstream bears while cold; 0
   /// for no limit.
   std::uint32_t cold_rate_milli = 0;
+  /// Balancers that appeared a moment ago, for an agent that the store no
+  /// longer lists: they cannot find it themselves.
+  std::vector<SocketAddress> new_balancers;
 };
 
 enum class AgentPhase : std::uint8_t {
@@ -103,10 +108,15 @@
   std::uint32_t flows = 0;
   std::uint32_t long_flows = 0;
   std::vector<HeldFlow> opened;
+  /// Balancers that appeared a moment ago.
+  std::vector<SocketAddress> new_balancers;
 };
 
-using NodeMessage =
-    std::variant<DeliverMessage, ReturnMessage, BalancerHeartbeat, AgentStatus>;
+using NodeMessage = std::variant<DeliverMessage,
+                                 ReturnMessage,
+                                 FlowUnknownMessage,
+                                 BalancerHeartbeat,
+                                 AgentStatus>;
 
 }  // namespace fireflytrestle
 
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -13,16 +13,19 @@
 enum class Kind : std::uint8_t {
   kDeliver = 1,
   kReturn,
+  kFlowUnknown,
   kBalancerHeartbeat,
   kAgentStatus,
   kCount,
 };
 
 constexpr std::uint32_t kDeliverFields = 5;
-constexpr std::uint32_t kReturnFields = 4;
-constexpr std::uint32_t kHeartbeatFields = 7;
-constexpr std::uint32_t kStatusFields = 9;
+constexpr std::uint32_t kReturnFields = 3;
+constexpr std::uint32_t kFlowUnknownFields = 5;
+constexpr std::uint32_t kHeartbeatFields = 8;
+constexpr std::uint32_t kStatusFields = 10;
 constexpr std::uint32_t kFlowFields = 5;
+constexpr std::uint32_t kAddressFields = 2;
 /// Longer names of services and zones are refused.
 constexpr std::size_t kMaxNameBytes = 200;
 constexpr std::uint64_t kMax16 = std::numeric_limits<std::uint16_t>::max();
@@ -56,10 +59,56 @@
 void Write(MsgpackWriter* writer, const ReturnMessage& message) {
   WriteHead(writer, Kind::kReturn, kReturnFields);
   writer->WriteUint(static_cast<std::uint64_t>(message.reason));
-  writer->WriteBool(message.search);
   writer->WriteBinary(message.packet);
 }
 
+void WriteTuple(MsgpackWriter* writer, const FlowTuple& tuple) {
+  writer->WriteUint(tuple.caller.ipv4);
+  writer->WriteUint(tuple.caller.port);
+  writer->WriteUint(tuple.route.ipv4);
+  writer->WriteUint(tuple.route.port);
+}
+
+FlowTuple ReadTuple(MsgpackReader* reader) {
+  FlowTuple tuple;
+  reader->Read(&tuple.caller.ipv4, 0, kMax32);
+  reader->Read(&tuple.caller.port, 0, kMax16);
+  reader->Read(&tuple.route.ipv4, 0, kMax32);
+  reader->Read(&tuple.route.port, 0, kMax16);
+  return tuple;
+}
+
+void Write(MsgpackWriter* writer, const FlowUnknownMessage& message) {
+  WriteHead(writer, Kind::kFlowUnknown, kFlowUnknownFields);
+  WriteTuple(writer, message.tuple);
+}
+
+void WriteAddresses(MsgpackWriter* writer,
+                    const std::vector<SocketAddress>& addresses) {
+  writer->WriteArray(static_cast<std::uint32_t>(addresses.size()));
+  for (const SocketAddress& address : addresses) {
+    writer->WriteArray(kAddressFields);
+    writer->WriteUint(address.ipv4);
+    writer->WriteUint(address.port);
+  }
+}
+
+std::vector<SocketAddress> ReadAddresses(MsgpackReader* reader) {
+  std::vector<SocketAddress> addresses;
+  const std::uint32_t count = reader->ReadArray();
+  if (count > kMaxNewBalancers) {
+    reader->Fail(WireError::kOutOfRange);
+    return addresses;
+  }
+  for (std::uint32_t i = 0; i < count && reader->ok(); ++i) {
+    SocketAddress& address = addresses.emplace_back();
+    reader->ReadArrayOf(kAddressFields);
+    reader->Read(&address.ipv4, 0, kMax32);
+    reader->Read(&address.port, 0, kMax16);
+  }
+  return addresses;
+}
+
 void Write(MsgpackWriter* writer, const BalancerHeartbeat& message) {
   WriteHead(writer, Kind::kBalancerHeartbeat, kHeartbeatFields);
   writer->WriteUint(static_cast<std::uint64_t>(message.incarnation));
@@ -68,14 +117,12 @@
   writer->WriteBool(message.zone_out);
   writer->WriteUint(static_cast<std::uint64_t>(message.cold_left.count()));
   writer->WriteUint(message.cold_rate_milli);
+  WriteAddresses(writer, message.new_balancers);
 }
 
 void Write(MsgpackWriter* writer, const HeldFlow& flow) {
   writer->WriteArray(kFlowFields);
-  writer->WriteUint(flow.tuple.caller.ipv4);
-  writer->WriteUint(flow.tuple.caller.port);
-  writer->WriteUint(flow.tuple.route.ipv4);
-  writer->WriteUint(flow.tuple.route.port);
+  WriteTuple(writer, flow.tuple);
   writer->WriteUint(flow.acknowledgment);
 }
 
@@ -92,6 +139,7 @@
   for (const HeldFlow& flow : message.opened) {
     Write(writer, flow);
   }
+  WriteAddresses(writer, message.new_balancers);
 }
 
 DeliverMessage ReadDeliver(MsgpackReader* reader) {
@@ -107,11 +155,14 @@
   ReturnMessage message;
   reader->Read(&message.reason, 1,
                static_cast<std::uint64_t>(ReturnReason::kCount) - 1);
-  message.search = reader->ReadBool();
   message.packet = reader->ReadBinary(std::numeric_limits<std::size_t>::max());
   return message;
 }
 
+FlowUnknownMessage ReadFlowUnknown(MsgpackReader* reader) {
+  return {ReadTuple(reader)};
+}
+
 BalancerHeartbeat ReadHeartbeat(MsgpackReader* reader) {
   BalancerHeartbeat message;
   reader->Read(&message.incarnation, 0, kMax64);
@@ -121,16 +172,14 @@
   message.cold_left =
       std::chrono::milliseconds(reader->ReadUint(0, kMaxColdMs));
   reader->Read(&message.cold_rate_milli, 0, kMax32);
+  message.new_balancers = ReadAddresses(reader);
   return message;
 }
 
 HeldFlow ReadFlow(MsgpackReader* reader) {
   HeldFlow flow;
   reader->ReadArrayOf(kFlowFields);
-  reader->Read(&flow.tuple.caller.ipv4, 0, kMax32);
-  reader->Read(&flow.tuple.caller.port, 0, kMax16);
-  reader->Read(&flow.tuple.route.ipv4, 0, kMax32);
-  reader->Read(&flow.tuple.route.port, 0, kMax16);
+  flow.tuple = ReadTuple(reader);
   reader->Read(&flow.acknowledgment, 0, kMax32);
   return flow;
 }
@@ -153,6 +202,7 @@
   for (std::uint32_t i = 0; i < count && reader->ok(); ++i) {
     message.opened.push_back(ReadFlow(reader));
   }
+  message.new_balancers = ReadAddresses(reader);
   return message;
 }
 
@@ -169,6 +219,7 @@
 constexpr Shape kShapes[] = {
     {kDeliverFields, ReadAs<ReadDeliver>},
     {kReturnFields, ReadAs<ReadReturn>},
+    {kFlowUnknownFields, ReadAs<ReadFlowUnknown>},
     {kHeartbeatFields, ReadAs<ReadHeartbeat>},
     {kStatusFields, ReadAs<ReadStatus>},
 };
@@ -191,8 +242,6 @@
       return "zone_out";
     case ReturnReason::kAgentStopping:
       return "agent_stopping";
-    case ReturnReason::kFlowUnknown:
-      return "flow_unknown";
     case ReturnReason::kCount:
       break;
   }
--- a/src/libflow/nodemessagecodec.h
+++ b/src/libflow/nodemessagecodec.h
@@ -13,6 +13,8 @@
 /// Flows that fit one status beside its other fields in a datagram of 1,400
 /// bytes: 22 bytes each.
 inline constexpr std::size_t kMaxFlowsPerStatus = 50;
+/// Balancers that one message introduces.
+inline constexpr std::size_t kMaxNewBalancers = 8;
 
 /// Writes \p message to \p out without allocating. Returns its size, 0 if it
 /// does not fit.
--- a/src/libnet/storereader.cpp
+++ b/src/libnet/storereader.cpp
@@ -46,11 +46,11 @@
                          const RecordDecoder& decoder,
                          const Clock& clock,
                          Logger* logger,
-                         Publish publish)
+                         Callbacks callbacks)
     : m_client(client),
       m_clock(clock),
       m_logger(logger),
-      m_publish(std::move(publish)),
+      m_callbacks(std::move(callbacks)),
       m_random(DrawSeed()),
       m_state(decoder,
               [this](const SiteChange& change) { LogChange(change); }) {
@@ -68,7 +68,7 @@
 
 void StoreReader::Tick() {
   if (m_state.Expire(m_clock.Now())) {
-    m_publish(m_state.View());
+    m_callbacks.changed(m_state.View());
   }
   for (const auto& follower : m_followers) {
     Read(follower.get());
@@ -118,7 +118,15 @@
         {{LogKey::kSource, follower->prefix()}});
   }
   if (changed) {
-    m_publish(m_state.View());
+    m_callbacks.changed(m_state.View());
+  }
+  if (reached) {
+    const auto oldest =
+        std::min_element(m_followers.begin(), m_followers.end(),
+                         [](const auto& a, const auto& b) {
+                           return a->last_contact() < b->last_contact();
+                         });
+    m_callbacks.confirmed((*oldest)->last_contact());
   }
   Read(follower);
 }
--- a/src/libnet/storereader.h
+++ b/src/libnet/storereader.h
@@ -23,7 +23,12 @@
 /// and publishes the site's view whenever it changes.
 class StoreReader {
  public:
-  using Publish = std::function<void(std::shared_ptr<const SiteView>)>;
+  struct Callbacks {
+    /// The view has changed.
+    std::function<void(std::shared_ptr<const SiteView>)> changed;
+    /// All parts of the store were as known at the given time or later.
+    std::function<void(TimePoint)> confirmed;
+  };
 
   /// All references must outlive the reader.
   StoreReader(const std::vector<std::string>& prefixes,
@@ -31,7 +36,7 @@
               const RecordDecoder& decoder,
               const Clock& clock,
               Logger* logger,
-              Publish publish);
+              Callbacks callbacks);
 
   void Start();
 
@@ -49,7 +54,7 @@
   StoreClient* m_client;
   const Clock& m_clock;
   Logger* m_logger;
-  Publish m_publish;
+  Callbacks m_callbacks;
   SeededRandom m_random;
   SiteState m_state;
   std::vector<std::unique_ptr<StoreFollower>> m_followers;
