Test the decisions on flows without an identity on a paused clock

A small site of balancers, agents and upstreams that exchange encoded messages without a network. The tests cover finding owners, silence, pauses, restarts, draining, zones taken out, reused addresses and cold upstreams.

--- /dev/null
+++ b/tests/libflow/fakeupstream.h
@@ -0,0 +1,142 @@
+#ifndef FIREFLYTRESTLE_TESTS_LIBFLOW_FAKEUPSTREAM_H_
+#define FIREFLYTRESTLE_TESTS_LIBFLOW_FAKEUPSTREAM_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "libbase/clock.h"
+#include "libflow/flowpacket.h"
+#include "libflow/flowtuple.h"
+
+namespace fireflytrestle {
+
+struct TupleLess {
+  bool operator()(const FlowTuple& a, const FlowTuple& b) const {
+    return std::pair(a.caller, a.route) < std::pair(b.caller, b.route);
+  }
+};
+
+/// \brief An upstream with a few slots, a short queue and cold starts. A data
+/// packet is a request, its answer another data packet.
+class FakeUpstream {
+ public:
+  /// \p number tells the sequence numbers of upstreams apart.
+  FakeUpstream(std::uint32_t slots, std::uint32_t number)
+      : m_slots(slots), m_last_sequence(number * 1'000'000) {}
+
+  /// Returns the packets that the upstream sends in answer at once.
+  std::vector<FlowPacket> OnPacket(const FlowPacket& packet, TimePoint now) {
+    const FlowTuple tuple{packet.source, packet.destination};
+    if (dead) {
+      return {};
+    }
+    if (packet.IsOpening()) {
+      if (refuses) {
+        return {HandBack(packet)};
+      }
+      opened.push_back(now);
+      m_half_open[tuple] = m_last_sequence += 1000;
+      return {Answer(packet, true, m_half_open[tuple])};
+    }
+    const auto half = m_half_open.find(tuple);
+    if (half != m_half_open.end() &&
+        packet.acknowledgment - half->second <= 1) {
+      flows.insert(tuple);
+      m_half_open.erase(half);
+    }
+    if (!flows.contains(tuple)) {
+      if (resets_unknown) {
+        FlowPacket reset = Answer(packet, false, 0);
+        reset.reset = true;
+        return {reset};
+      }
+      return {HandBack(packet)};
+    }
+    if (packet.data_bytes > 0) {
+      m_queue.push_back({packet, now});
+      most_waiting = std::max(most_waiting, m_queue.size());
+    }
+    return {};
+  }
+
+  /// Returns the answers that are ready by \p now.
+  std::vector<FlowPacket> OnTick(TimePoint now) {
+    std::vector<FlowPacket> answers;
+    if (dead) {
+      return answers;
+    }
+    while (!m_running.empty() && m_running.begin()->first <= now) {
+      const FlowPacket request = m_running.begin()->second;
+      m_running.erase(m_running.begin());
+      FlowPacket answer = Answer(request, false, request.acknowledgment);
+      answer.data_bytes = 1;
+      answers.push_back(answer);
+      ++answered;
+    }
+    while (!m_queue.empty() && m_running.size() < m_slots) {
+      m_running.emplace(now + work, m_queue.front().packet);
+      started.push_back(m_queue.front().packet);
+      m_queue.pop_front();
+    }
+    return answers;
+  }
+
+  /// The process ends and a new one starts.
+  void Restart() {
+    flows.clear();
+    m_half_open.clear();
+    m_queue.clear();
+    m_running.clear();
+    dead = false;
+  }
+
+  Duration work = std::chrono::milliseconds(20);
+  bool dead = false;
+  bool refuses = false;
+  /// Resets packets of flows that it does not hold, as one that ends does.
+  bool resets_unknown = false;
+  std::set<FlowTuple, TupleLess> flows;
+  std::vector<TimePoint> opened;
+  std::vector<FlowPacket> started;
+  std::size_t answered = 0;
+  std::size_t most_waiting = 0;
+
+ private:
+  struct Waiting {
+    FlowPacket packet;
+    TimePoint since;
+  };
+
+  static FlowPacket HandBack(FlowPacket packet) {
+    packet.bounced = true;
+    return packet;
+  }
+
+  static FlowPacket Answer(const FlowPacket& to,
+                           bool syn,
+                           std::uint32_t sequence) {
+    FlowPacket packet;
+    packet.source = to.destination;
+    packet.destination = to.source;
+    packet.syn = syn;
+    packet.ack = true;
+    packet.sequence = sequence;
+    packet.acknowledgment = to.sequence + 1;
+    return packet;
+  }
+
+  std::uint32_t m_slots;
+  std::uint32_t m_last_sequence;
+  std::map<FlowTuple, std::uint32_t, TupleLess> m_half_open;
+  std::deque<Waiting> m_queue;
+  std::multimap<TimePoint, FlowPacket> m_running;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_TESTS_LIBFLOW_FAKEUPSTREAM_H_
--- /dev/null
+++ b/tests/libflow/flowsite.h
@@ -0,0 +1,378 @@
+#ifndef FIREFLYTRESTLE_TESTS_LIBFLOW_FLOWSITE_H_
+#define FIREFLYTRESTLE_TESTS_LIBFLOW_FLOWSITE_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fakeupstream.h"
+#include "libbase/manualclock.h"
+#include "libflow/flowkeeper.h"
+#include "libflow/flowoutput.h"
+#include "libflow/flowrouter.h"
+#include "libflow/nodemessagecodec.h"
+#include "libsite/siteview.h"
+#include "plaincodec.h"
+
+namespace fireflytrestle {
+
+/// \brief A small site on a paused clock: balancers, agents and upstreams that
+/// exchange encoded messages without a network. Each hop takes no time.
+class FlowSite {
+ public:
+  static constexpr std::uint16_t kNodePort = 7000;
+  static constexpr std::uint16_t kAgentPort = 8000;
+  static constexpr std::uint16_t kUpstreamPort = 9000;
+  static constexpr SocketAddress kRoute{0xC6120001, 443};
+  static constexpr SocketAddress kOrderRoute{0xC6120001, 80};
+
+  struct Balancer;
+  struct Agent;
+
+  /// \brief Collects what one process sends.
+  class Output : public FlowOutput {
+   public:
+    Output(FlowSite* site, SocketAddress self, Agent* agent)
+        : m_site(site), m_self(self), m_agent(agent) {}
+    void SendToNode(const SocketAddress& node,
+                    const NodeMessage& message) override {
+      std::vector<std::uint8_t> bytes(2000);
+      bytes.resize(EncodeNodeMessage(message, bytes));
+      m_site->m_wire.push_back({m_self, node, std::move(bytes)});
+    }
+    void SendToUpstream(std::span<const std::uint8_t> packet) override;
+    void SendToCaller(const SocketAddress& /*caller*/,
+                      std::span<const std::uint8_t> packet) override {
+      m_site->to_callers.push_back(*m_site->codec.Decode(packet));
+    }
+    void SendReset(const FlowTuple& tuple, std::uint32_t sequence) override {
+      m_site->resets.push_back(tuple);
+      m_site->reset_sequences.push_back(sequence);
+    }
+    void Report(const FlowDecision& decision) override {
+      m_site->decisions.push_back(std::string(ToString(decision.kind)) + " " +
+                                  decision.reason);
+    }
+
+   private:
+    FlowSite* m_site;
+    SocketAddress m_self;
+    Agent* m_agent;
+  };
+
+  struct Balancer {
+    SocketAddress address;
+    std::unique_ptr<Output> output;
+    std::unique_ptr<FlowRouter> router;
+    bool running = true;
+  };
+
+  struct Agent {
+    SocketAddress address;
+    std::string zone;
+    UpstreamEntry entry;
+    std::unique_ptr<Output> output;
+    std::unique_ptr<FlowKeeper> keeper;
+    std::unique_ptr<FakeUpstream> upstream;
+    bool running = true;
+    bool listed = true;
+  };
+
+  explicit FlowSite(std::size_t balancer_count,
+                    std::size_t agent_count,
+                    std::uint32_t slots = 3) {
+    RouteSettings feed;
+    feed.address = kRoute;
+    feed.idempotent = true;
+    feed.long_lived = true;
+    feed.latency_objective = std::chrono::milliseconds(120);
+    feed.timeout = std::chrono::milliseconds(800);
+    feed.services = {{"counter", 1}};
+    RouteSettings order = feed;
+    order.address = kOrderRoute;
+    order.idempotent = false;
+    order.long_lived = false;
+    view.configuration_version = 1;
+    view.routes = {{kRoute, feed}, {kOrderRoute, order}};
+    view.services["counter"] = {};
+    for (std::size_t i = 0; i < agent_count; ++i) {
+      AddAgent(slots);
+    }
+    for (std::size_t i = 0; i < balancer_count; ++i) {
+      AddBalancer();
+    }
+    Publish();
+    Run(std::chrono::milliseconds(1500));
+  }
+
+  Balancer& AddBalancer() {
+    auto balancer = std::make_unique<Balancer>();
+    balancer->address = {
+        0x0A010000U + static_cast<std::uint32_t>(balancers.size() + 1),
+        kNodePort};
+    balancer->output =
+        std::make_unique<Output>(this, balancer->address, nullptr);
+    balancers.push_back(std::move(balancer));
+    StartBalancer(balancers.size() - 1);
+    return *balancers.back();
+  }
+
+  /// Starts or restarts the process.
+  void StartBalancer(std::size_t index) {
+    Balancer& balancer = *balancers[index];
+    FlowRouter::Settings settings;
+    settings.incarnation = Incarnation{++m_incarnations};
+    settings.zone = "a";
+    settings.agent_port = kAgentPort;
+    balancer.router = std::make_unique<FlowRouter>(
+        settings, codec, balancer.output.get(), clock.Now());
+    balancer.running = true;
+  }
+
+  Agent& AddAgent(std::uint32_t slots = 3) {
+    auto agent = std::make_unique<Agent>();
+    const std::uint32_t ipv4 =
+        0x0A020000U + static_cast<std::uint32_t>(agents.size() + 1);
+    agent->address = {ipv4, kAgentPort};
+    agent->zone = agents.size() % 2 == 0 ? "a" : "b";
+    agent->entry.id = "i-" + std::to_string(agents.size());
+    agent->entry.service = "counter";
+    agent->entry.zone = agent->zone;
+    agent->entry.address = {ipv4, kUpstreamPort};
+    agent->entry.slots = slots;
+    agent->entry.revision = Revision{++m_revision};
+    agent->output = std::make_unique<Output>(this, agent->address, agent.get());
+    agent->upstream = std::make_unique<FakeUpstream>(
+        slots, static_cast<std::uint32_t>(agents.size()));
+    agents.push_back(std::move(agent));
+    StartAgent(agents.size() - 1);
+    return *agents.back();
+  }
+
+  void StartAgent(std::size_t index) {
+    Agent& agent = *agents[index];
+    FlowKeeper::Settings settings;
+    settings.incarnation = Incarnation{++m_incarnations};
+    settings.service = agent.entry.service;
+    settings.zone = agent.zone;
+    settings.seeds = {{0x0A010001U, kNodePort}};
+    agent.keeper = std::make_unique<FlowKeeper>(
+        settings, codec, agent.output.get(), clock.Now());
+    agent.running = true;
+  }
+
+  /// Gives the present view to all balancers, as the store would.
+  void Publish() {
+    view.upstreams.clear();
+    for (const auto& agent : agents) {
+      if (agent->listed) {
+        view.upstreams.emplace(agent->entry.address.ipv4, agent->entry);
+      }
+    }
+    for (const auto& balancer : balancers) {
+      if (balancer->running) {
+        balancer->router->InstallView(std::make_shared<SiteView>(view),
+                                      clock.Now());
+      }
+    }
+    Settle();
+  }
+
+  /// Marks an agent's entry as changed.
+  void Touch(Agent* agent) {
+    agent->entry.revision = Revision{++m_revision};
+    agent->entry.learned = clock.Now();
+  }
+
+  void Run(Duration time) {
+    constexpr std::chrono::milliseconds kStep{5};
+    for (Duration passed{}; passed < time; passed += kStep) {
+      clock.Advance(kStep);
+      ++m_steps;
+      for (const auto& agent : agents) {
+        for (const FlowPacket& answer : agent->upstream->OnTick(clock.Now())) {
+          m_from_upstreams.push_back({agent.get(), answer});
+        }
+      }
+      Settle();
+      if (m_steps % 10 == 0) {
+        for (const auto& agent : agents) {
+          if (agent->running) {
+            agent->keeper->OnTick(clock.Now());
+          }
+        }
+        Settle();
+        for (const auto& balancer : balancers) {
+          if (balancer->running) {
+            balancer->router->ConfirmView(clock.Now());
+            balancer->router->OnTick(clock.Now());
+          }
+        }
+        Settle();
+      }
+    }
+  }
+
+  /// Delivers all messages under way.
+  void Settle() {
+    while (!m_wire.empty() || !m_from_upstreams.empty()) {
+      const auto wire = std::exchange(m_wire, {});
+      for (const Datagram& datagram : wire) {
+        if (!lost || !lost(datagram.from, datagram.to)) {
+          Deliver(datagram);
+        }
+      }
+      const auto packets = std::exchange(m_from_upstreams, {});
+      for (const auto& [agent, packet] : packets) {
+        if (agent->running) {
+          std::vector<std::uint8_t> bytes = PlainCodec::Encode(packet);
+          agent->keeper->OnUpstreamPacket(bytes, clock.Now());
+        }
+      }
+    }
+  }
+
+  static FlowTuple Tuple(std::uint32_t caller, SocketAddress route = kRoute) {
+    return {{0x64400000U + caller, 40000}, route};
+  }
+
+  void FromCaller(std::size_t balancer, const FlowPacket& packet) {
+    balancers[balancer]->router->OnCallerPacket(PlainCodec::Encode(packet),
+                                                clock.Now());
+    Settle();
+  }
+
+  static FlowPacket Packet(const FlowTuple& tuple) {
+    FlowPacket packet;
+    packet.source = tuple.caller;
+    packet.destination = tuple.route;
+    return packet;
+  }
+
+  void SendSyn(std::size_t balancer, const FlowTuple& tuple) {
+    FlowPacket packet = Packet(tuple);
+    packet.syn = true;
+    packet.sequence = 100;
+    FromCaller(balancer, packet);
+  }
+
+  /// Returns the sequence number of the SYN+ACK that \p tuple got last, 0 if
+  /// none.
+  std::uint32_t Offered(const FlowTuple& tuple) const {
+    std::uint32_t sequence = 0;
+    for (const FlowPacket& packet : to_callers) {
+      if (packet.syn && packet.destination == tuple.caller &&
+          packet.source == tuple.route) {
+        sequence = packet.sequence;
+      }
+    }
+    return sequence;
+  }
+
+  /// Sends the caller's \p number-th request in a flow that has been offered.
+  void SendRequest(std::size_t balancer,
+                   const FlowTuple& tuple,
+                   std::uint32_t number = 1) {
+    FlowPacket packet = Packet(tuple);
+    packet.ack = true;
+    packet.sequence = 101 + (number - 1) * 10;
+    packet.acknowledgment = Offered(tuple) + 1;
+    packet.data_bytes = 10;
+    FromCaller(balancer, packet);
+  }
+
+  /// Opens a flow and sends its first request.
+  void Open(std::size_t balancer, const FlowTuple& tuple) {
+    SendSyn(balancer, tuple);
+    SendRequest(balancer, tuple);
+  }
+
+  /// Returns the agent whose upstream holds the flow; null if none does.
+  Agent* OwnerOf(const FlowTuple& tuple) {
+    for (const auto& agent : agents) {
+      if (agent->upstream->flows.contains(tuple)) {
+        return agent.get();
+      }
+    }
+    return nullptr;
+  }
+
+  std::size_t AnswersTo(const FlowTuple& tuple) const {
+    std::size_t count = 0;
+    for (const FlowPacket& packet : to_callers) {
+      count += packet.data_bytes > 0 && packet.destination == tuple.caller &&
+                       packet.source == tuple.route
+                   ? 1
+                   : 0;
+    }
+    return count;
+  }
+
+  std::size_t ResetsOf(const FlowTuple& tuple) const {
+    return static_cast<std::size_t>(
+        std::count(resets.begin(), resets.end(), tuple));
+  }
+
+  std::size_t Decisions(const std::string& text) const {
+    return static_cast<std::size_t>(
+        std::count(decisions.begin(), decisions.end(), text));
+  }
+
+  ManualClock clock;
+  PlainCodec codec;
+  SiteView view;
+  std::vector<std::unique_ptr<Balancer>> balancers;
+  std::vector<std::unique_ptr<Agent>> agents;
+  std::vector<FlowPacket> to_callers;
+  std::vector<FlowTuple> resets;
+  std::vector<std::uint32_t> reset_sequences;
+  std::vector<std::string> decisions;
+  /// Whether a datagram between two processes is lost; null for none.
+  std::function<bool(const SocketAddress& from, const SocketAddress& to)> lost;
+
+ private:
+  struct Datagram {
+    SocketAddress from;
+    SocketAddress to;
+    std::vector<std::uint8_t> bytes;
+  };
+
+  void Deliver(const Datagram& datagram) {
+    const auto message = DecodeNodeMessage(datagram.bytes);
+    if (!message) {
+      return;
+    }
+    for (const auto& balancer : balancers) {
+      if (balancer->address == datagram.to && balancer->running) {
+        balancer->router->OnNodeMessage(datagram.from, *message, clock.Now());
+      }
+    }
+    for (const auto& agent : agents) {
+      if (agent->address == datagram.to && agent->running) {
+        agent->keeper->OnNodeMessage(datagram.from, *message, clock.Now());
+      }
+    }
+  }
+
+  std::vector<Datagram> m_wire;
+  std::vector<std::pair<Agent*, FlowPacket>> m_from_upstreams;
+  std::uint64_t m_incarnations = 0;
+  std::uint64_t m_revision = 0;
+  std::uint64_t m_steps = 0;
+};
+
+inline void FlowSite::Output::SendToUpstream(
+    std::span<const std::uint8_t> packet) {
+  for (const FlowPacket& answer : m_agent->upstream->OnPacket(
+           *m_site->codec.Decode(packet), m_site->clock.Now())) {
+    m_site->m_from_upstreams.push_back({m_agent, answer});
+  }
+}
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_TESTS_LIBFLOW_FLOWSITE_H_
--- /dev/null
+++ b/tests/libflow/losstest.cpp
@@ -0,0 +1,139 @@
+#include <doctest/doctest.h>
+
+#include "flowsite.h"
+
+namespace fireflytrestle {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Time within which callers of flows without an owner are to learn of it.
+constexpr milliseconds kNoticeLimit{450};
+
+}  // namespace
+
+TEST_CASE("feeds of an agent that fell silent are reset, orders are not") {
+  FlowSite site(2, 4);
+  std::vector<FlowTuple> feeds;
+  for (std::uint32_t caller = 1; caller <= 8; ++caller) {
+    feeds.push_back(FlowSite::Tuple(caller));
+    site.Open(0, feeds.back());
+  }
+  const FlowTuple order = FlowSite::Tuple(100, FlowSite::kOrderRoute);
+  site.Open(1, order);
+  site.Run(milliseconds(300));
+  FlowSite::Agent* lost = site.OwnerOf(order);
+  REQUIRE(lost != nullptr);
+  lost->running = false;
+  site.Run(kNoticeLimit);
+  for (const FlowTuple& feed : feeds) {
+    CHECK(site.ResetsOf(feed) == (site.OwnerOf(feed) == lost ? 1 : 0));
+  }
+  CHECK(site.ResetsOf(order) == 0);
+}
+
+TEST_CASE("new flows avoid a silent agent") {
+  FlowSite site(1, 3);
+  site.agents[0]->running = false;
+  site.Run(kNoticeLimit);
+  for (std::uint32_t caller = 1; caller <= 30; ++caller) {
+    site.Open(0, FlowSite::Tuple(caller));
+  }
+  CHECK(site.agents[0]->upstream->opened.empty());
+}
+
+TEST_CASE("a balancer that was paused judges nobody") {
+  FlowSite site(1, 3);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(300));
+  // The balancer stands still while reports are lost.
+  site.clock.Advance(std::chrono::seconds(3));
+  site.balancers[0]->router->OnTick(site.clock.Now());
+  site.SendRequest(0, tuple, 2);
+  CHECK(site.resets.empty());
+  site.Run(milliseconds(1000));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) == 2);
+}
+
+TEST_CASE("a balancer that hears of nobody judges nobody") {
+  FlowSite site(1, 3);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(300));
+  site.lost = [&](const SocketAddress&, const SocketAddress& to) {
+    return to == site.balancers[0]->address;
+  };
+  site.Run(std::chrono::seconds(3));
+  CHECK(site.resets.empty());
+}
+
+TEST_CASE("an announced restart of an agent breaks no flow") {
+  FlowSite site(2, 3);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(300));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  REQUIRE(owner != nullptr);
+  owner->keeper->BeginStop(site.clock.Now());
+  site.Settle();
+  owner->running = false;
+  site.Run(milliseconds(1500));
+  for (std::size_t i = 0; i < site.agents.size(); ++i) {
+    if (site.agents[i].get() == owner) {
+      site.StartAgent(i);
+    }
+  }
+  site.Run(milliseconds(300));
+  site.SendRequest(1, tuple, 2);
+  site.Run(milliseconds(200));
+  CHECK(site.AnswersTo(tuple) == 2);
+  CHECK(site.resets.empty());
+}
+
+TEST_CASE("an upstream that lost its flows resets them at their next packet") {
+  FlowSite site(1, 3);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(300));
+  site.OwnerOf(tuple)->upstream->Restart();
+  site.SendRequest(0, tuple, 2);
+  CHECK(site.ResetsOf(tuple) == 1);
+}
+
+TEST_CASE("a SYN that nobody answers goes to another agent with its copy") {
+  FlowSite site(1, 2);
+  for (const auto& agent : site.agents) {
+    agent->upstream->dead = true;
+  }
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.SendSyn(0, tuple);
+  for (const auto& agent : site.agents) {
+    agent->upstream->dead = false;
+  }
+  site.Run(milliseconds(200));
+  site.SendSyn(0, tuple);
+  CHECK(site.Offered(tuple) != 0);
+  CHECK(site.Decisions("flow_placed_again least_load") == 1);
+}
+
+TEST_CASE("a SYN that is handed back goes to the next agent, then is reset") {
+  FlowSite site(1, 3);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.agents[0]->upstream->refuses = true;
+  site.agents[1]->upstream->refuses = true;
+  SUBCASE("one is left") {
+    site.Open(0, tuple);
+    CHECK(site.OwnerOf(tuple) == site.agents[2].get());
+    CHECK(site.resets.empty());
+  }
+  SUBCASE("none is left") {
+    site.agents[2]->upstream->refuses = true;
+    site.SendSyn(0, tuple);
+    CHECK(site.ResetsOf(tuple) == 1);
+  }
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/tests/libflow/ownertest.cpp
@@ -0,0 +1,126 @@
+#include <doctest/doctest.h>
+
+#include "flowsite.h"
+
+namespace fireflytrestle {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("a flow that moves to another balancer stays with its upstream") {
+  FlowSite site(2, 4);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(200));
+  REQUIRE(site.OwnerOf(tuple) != nullptr);
+  site.SendRequest(1, tuple, 2);
+  site.Run(milliseconds(100));
+  CHECK(site.AnswersTo(tuple) == 2);
+  CHECK(site.resets.empty());
+  CHECK(site.Decisions("flow_searched owner_unknown") == 0);
+}
+
+TEST_CASE("a flow that moves before any report is found by asking") {
+  FlowSite site(2, 4);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.SendSyn(0, tuple);
+  site.SendRequest(1, tuple);
+  site.Run(milliseconds(100));
+  CHECK(site.AnswersTo(tuple) == 1);
+  CHECK(site.resets.empty());
+  CHECK(site.Decisions("flow_searched owner_unknown") == 1);
+}
+
+TEST_CASE("a reset of an upstream without the flow does not reach the caller") {
+  FlowSite site(2, 4);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.SendSyn(0, tuple);
+  for (const auto& agent : site.agents) {
+    agent->upstream->resets_unknown = true;
+  }
+  site.SendRequest(1, tuple);
+  site.Run(milliseconds(100));
+  CHECK(site.AnswersTo(tuple) == 1);
+  for (const FlowPacket& packet : site.to_callers) {
+    CHECK_FALSE(packet.reset);
+  }
+  CHECK(site.resets.empty());
+}
+
+TEST_CASE("a new balancer finds flows of an upstream that left the store") {
+  FlowSite site(1, 4);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(200));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  REQUIRE(owner != nullptr);
+  owner->listed = false;
+  site.AddBalancer();
+  site.Publish();
+  SUBCASE("at once") {}
+  SUBCASE("after the agents have met it") {
+    site.Run(milliseconds(2000));
+  }
+  site.SendRequest(1, tuple, 2);
+  site.Run(milliseconds(200));
+  site.SendRequest(1, tuple, 3);
+  site.Run(milliseconds(400));
+  site.SendRequest(1, tuple, 4);
+  site.Run(milliseconds(800));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) >= 2);
+}
+
+TEST_CASE("a flow that no upstream holds is reset") {
+  FlowSite site(1, 4);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  FlowPacket packet = FlowSite::Packet(tuple);
+  packet.ack = true;
+  packet.acknowledgment = 77;
+  packet.data_bytes = 10;
+  site.FromCaller(0, packet);
+  site.Run(milliseconds(50));
+  CHECK(site.ResetsOf(tuple) == 1);
+  CHECK(site.reset_sequences == std::vector<std::uint32_t>{77});
+}
+
+TEST_CASE("a search that a stale view makes incomplete resets nothing") {
+  FlowSite site(1, 4);
+  site.balancers[0]->router->ConfirmView(site.clock.Now() - milliseconds(5000));
+  FlowPacket packet = FlowSite::Packet(FlowSite::Tuple(1));
+  packet.ack = true;
+  packet.data_bytes = 10;
+  site.FromCaller(0, packet);
+  CHECK(site.resets.empty());
+}
+
+TEST_CASE("with two offers the flow belongs to the upstream that was chosen") {
+  FlowSite site(1, 2);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.SendSyn(0, tuple);
+  const std::uint32_t first = site.Offered(tuple);
+  site.Run(milliseconds(200));
+  site.SendSyn(0, tuple);
+  const std::uint32_t second = site.Offered(tuple);
+  REQUIRE(site.to_callers.size() == 2);
+  FlowPacket packet = FlowSite::Packet(tuple);
+  packet.ack = true;
+  packet.sequence = 101;
+  packet.data_bytes = 10;
+  SUBCASE("the first") {
+    packet.acknowledgment = first + 1;
+  }
+  SUBCASE("the second") {
+    packet.acknowledgment = second + 1;
+  }
+  site.FromCaller(0, packet);
+  site.Run(milliseconds(150));
+  CHECK(site.AnswersTo(tuple) == 1);
+  std::size_t runs = 0;
+  for (const auto& agent : site.agents) {
+    runs += agent->upstream->started.size();
+  }
+  CHECK(runs == 1);
+  CHECK(site.resets.empty());
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/tests/libflow/viewtest.cpp
@@ -0,0 +1,115 @@
+#include <doctest/doctest.h>
+
+#include "flowsite.h"
+
+namespace fireflytrestle {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("a draining upstream gets no new flow and keeps its own") {
+  FlowSite site(1, 2);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(200));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  owner->entry.draining = true;
+  site.Touch(owner);
+  site.Publish();
+  const std::size_t before = owner->upstream->opened.size();
+  for (std::uint32_t caller = 2; caller <= 20; ++caller) {
+    site.Open(0, FlowSite::Tuple(caller));
+  }
+  CHECK(owner->upstream->opened.size() == before);
+  site.SendRequest(0, tuple, 2);
+  site.Run(milliseconds(200));
+  CHECK(site.AnswersTo(tuple) == 2);
+  CHECK(site.resets.empty());
+}
+
+TEST_CASE("an agent refuses what a balancer with an old view sends") {
+  FlowSite site(2, 2);
+  FlowSite::Agent* agent = site.agents[0].get();
+  SUBCASE("draining") {
+    agent->entry.draining = true;
+  }
+  SUBCASE("zone out") {
+    site.view.zones_out.insert(agent->zone);
+  }
+  site.Touch(agent);
+  // Only the second balancer hears of the change.
+  site.balancers[0]->running = false;
+  site.Publish();
+  site.balancers[0]->running = true;
+  for (std::uint32_t caller = 1; caller <= 20; ++caller) {
+    site.Open(0, FlowSite::Tuple(caller));
+  }
+  CHECK(agent->upstream->opened.empty());
+  CHECK(site.agents[1]->upstream->opened.size() == 20);
+}
+
+TEST_CASE("an address that another service uses now gets no old packet") {
+  FlowSite site(1, 2);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(200));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  const std::size_t started = owner->upstream->started.size();
+  owner->entry.service = "ledger";
+  owner->upstream->Restart();
+  for (std::size_t i = 0; i < site.agents.size(); ++i) {
+    if (site.agents[i].get() == owner) {
+      site.StartAgent(i);
+    }
+  }
+  site.SendRequest(0, tuple, 2);
+  for (std::uint32_t caller = 2; caller <= 10; ++caller) {
+    site.Open(0, FlowSite::Tuple(caller));
+  }
+  CHECK(owner->upstream->started.size() == started);
+  CHECK(owner->upstream->flows.empty());
+}
+
+TEST_CASE("a route that does not exist is reset at once") {
+  FlowSite site(1, 2);
+  const FlowTuple tuple = FlowSite::Tuple(1, {0xC6120001, 9999});
+  site.SendSyn(0, tuple);
+  CHECK(site.ResetsOf(tuple) == 1);
+  CHECK(site.Decisions("flow_reset no_route") == 1);
+}
+
+TEST_CASE("a cold upstream gets no more than its rate from all balancers") {
+  constexpr std::size_t kRate = 10;
+  FlowSite site(4, 2);
+  FlowSite::Agent* cold = site.agents[0].get();
+  cold->entry.cold_left = milliseconds(5000);
+  site.Touch(cold);
+  site.view.services["counter"].cold_rate = kRate;
+  site.Publish();
+  // The other upstream leaves, so that all flows press on the cold one.
+  site.agents[1]->entry.draining = true;
+  site.Touch(site.agents[1].get());
+  site.Publish();
+  std::uint32_t caller = 0;
+  const auto press = [&](Duration time) {
+    for (Duration passed{}; passed < time; passed += milliseconds(20)) {
+      for (std::size_t balancer = 0; balancer < 4; ++balancer) {
+        site.Open(balancer, FlowSite::Tuple(++caller));
+      }
+      site.Run(milliseconds(20));
+    }
+  };
+  press(milliseconds(1500));
+  SUBCASE("the agent stays") {}
+  SUBCASE("the agent restarts") {
+    site.StartAgent(0);
+  }
+  site.Publish();
+  press(milliseconds(2000));
+  const auto& opened = cold->upstream->opened;
+  REQUIRE(opened.size() > kRate);
+  for (std::size_t i = 0; i + kRate < opened.size(); ++i) {
+    CHECK(opened[i + kRate] - opened[i] >= std::chrono::seconds(1));
+  }
+}
+
+}  // namespace fireflytrestle
