Hold packets at a balancer that has no view yet

Cause: after all processes were killed, 137 packets in 0.1 s met balancers without a configuration and were dropped; callers repeat a packet only after 200 ms, then after 400 ms.

Ruled out: the store (its first answer came 4 ms after the first read).

--- a/src/libflow/flowdecision.cpp
+++ b/src/libflow/flowdecision.cpp
@@ -26,6 +26,8 @@
       return "peer_phase";
     case FlowDecision::Kind::kDropped:
       return "packet_dropped";
+    case FlowDecision::Kind::kHeld:
+      return "packet_held";
     case FlowDecision::Kind::kCount:
       break;
   }
--- a/src/libflow/flowdecision.h
+++ b/src/libflow/flowdecision.h
@@ -34,6 +34,8 @@
     kPeerBack,
     kPeerPhase,
     kDropped,
+    /// A packet waits for what is needed to decide on it.
+    kHeld,
     kCount,
   };
 
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -29,6 +29,9 @@
 /// By then, agents that the store no longer lists have heard of a new balancer
 /// and reported to it.
 constexpr milliseconds kIntroductionTime{1000};
+/// Agents answer the first heartbeat at once; those that have not done so by
+/// then are down.
+constexpr milliseconds kReportPatience{60};
 /// Agents that one SYN may go to.
 constexpr std::uint8_t kMaxPlacements = 4;
 /// Further placements: 30% of the new flows, and a steady minimum.
@@ -57,7 +60,8 @@
 void FlowRouter::InstallView(std::shared_ptr<const SiteView> view,
                              TimePoint now) {
   m_view = std::move(view);
-  if (m_first_view == TimePoint{}) {
+  if (m_first_view == TimePoint{} && m_view->configuration_version != 0 &&
+      !m_view->upstreams.empty()) {
     m_first_view = now;
   }
   m_agents.Install(*m_view, now);
@@ -78,7 +82,11 @@
     return;
   }
   const FlowTuple tuple{packet->source, packet->destination};
-  if (packet->IsOpening()) {
+  if (!m_informed) {
+    const bool waits = m_waiting_room.Add(datagram, now);
+    Report(waits ? Kind::kHeld : Kind::kDropped, tuple, nullptr,
+           waits ? "no_view" : "waiting_room_full", now);
+  } else if (packet->IsOpening()) {
     OnOpening(*packet, tuple, datagram, now);
   } else {
     OnFlowPacket(*packet, tuple, datagram, now);
@@ -104,10 +112,6 @@
     return;
   }
   m_flows.Erase(tuple);
-  if (m_view->configuration_version == 0) {
-    Report(Kind::kDropped, tuple, nullptr, "no_configuration", now);
-    return;
-  }
   const auto route = m_view->routes.find(tuple.route);
   if (route == m_view->routes.end()) {
     Reset(tuple, packet.acknowledgment, "no_route", nullptr, now);
@@ -202,10 +206,6 @@
                         const FlowTuple& tuple,
                         std::span<const std::uint8_t> datagram,
                         TimePoint now) {
-  if (m_view->configuration_version == 0) {
-    Report(Kind::kDropped, tuple, nullptr, "no_configuration", now);
-    return;
-  }
   const auto route = m_view->routes.find(tuple.route);
   if (route == m_view->routes.end()) {
     if (!packet.reset) {
@@ -341,7 +341,7 @@
 
 bool FlowRouter::KnowsAllUpstreams(TimePoint now) const {
   return m_view->configuration_version != 0 &&
-         now - m_view_confirmed < kViewAge &&
+         now - m_view_confirmed < kViewAge && m_first_view != TimePoint{} &&
          now - m_first_view >= kIntroductionTime;
 }
 
@@ -382,9 +382,30 @@
     entry->owner = agent;
     entry->asked.clear();
   }
+  LeaveWaitingRoom(now);
+}
+
+bool FlowRouter::IsInformed(TimePoint now) const {
+  if (m_first_view == TimePoint{}) {
+    return false;
+  }
+  return now - m_first_view >= kReportPatience ||
+         std::all_of(m_agents.all().begin(), m_agents.all().end(),
+                     [](const auto& item) { return !!item.second->heard(); });
+}
+
+void FlowRouter::LeaveWaitingRoom(TimePoint now) {
+  if (m_informed || !IsInformed(now)) {
+    return;
+  }
+  m_informed = true;
+  for (const auto& packet : m_waiting_room.TakeAll(now)) {
+    OnCallerPacket(packet, now);
+  }
 }
 
 void FlowRouter::OnTick(TimePoint now) {
+  LeaveWaitingRoom(now);
   for (const AgentPeerPtr& agent : m_judge.OnTick(m_agents, now)) {
     Report(Kind::kPeerSilent, {}, agent.get(), "no_report", now);
     AbandonFlowsOf(agent, now);
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -12,6 +12,7 @@
 #include "libflow/flowdecision.h"
 #include "libflow/flowdirectory.h"
 #include "libflow/silencejudge.h"
+#include "libflow/waitingroom.h"
 
 namespace fireflytrestle {
 
@@ -107,6 +108,10 @@
   bool KnowsAllUpstreams(TimePoint now) const;
   void AbandonFlowsOf(const AgentPeerPtr& agent, TimePoint now);
   void SendHeartbeats(TimePoint now);
+  /// Whether packets can be decided on: the view and the first reports of the
+  /// agents are there.
+  bool IsInformed(TimePoint now) const;
+  void LeaveWaitingRoom(TimePoint now);
 
   Settings m_settings;
   const PacketCodec& m_codec;
@@ -120,6 +125,8 @@
   AgentTable m_agents;
   FlowDirectory m_flows;
   SilenceJudge m_judge;
+  WaitingRoom m_waiting_room;
+  bool m_informed = false;
   RetryBudget m_retry_budget;
   TimePoint m_next_heartbeat;
   TimePoint m_next_sweep;
--- /dev/null
+++ b/src/libflow/waitingroom.cpp
@@ -0,0 +1,31 @@
+#include "libflow/waitingroom.h"
+
+#include <utility>
+
+namespace fireflytrestle {
+
+bool WaitingRoom::Add(std::span<const std::uint8_t> packet, TimePoint now) {
+  if (m_packets.size() >= kMaxPackets) {
+    // What waits too long already makes room.
+    std::erase_if(m_packets, [&](const Waiting& each) {
+      return now - each.arrived > kLongestWait;
+    });
+    if (m_packets.size() >= kMaxPackets) {
+      return false;
+    }
+  }
+  m_packets.push_back({{packet.begin(), packet.end()}, now});
+  return true;
+}
+
+std::vector<std::vector<std::uint8_t>> WaitingRoom::TakeAll(TimePoint now) {
+  std::vector<std::vector<std::uint8_t>> packets;
+  for (Waiting& each : std::exchange(m_packets, {})) {
+    if (now - each.arrived <= kLongestWait) {
+      packets.push_back(std::move(each.packet));
+    }
+  }
+  return packets;
+}
+
+}  // namespace fireflytrestle
