--- a/src/flowbalancer/main.cpp
+++ b/src/flowbalancer/main.cpp
@@ -34,7 +34,7 @@
         {&store,
          &decoder,
          &codec,
-         {SiteFormat::kOperatorPrefix, SiteFormat::kUpstreamPrefix}},
+         {std::string()}},
         clock, &logger);
     BOOST_LEAF_CHECK(process.Start());
     QCoreApplication::exec();
--- a/src/libbase/logfield.h
+++ b/src/libbase/logfield.h
@@ -23,6 +23,7 @@
   kSource,
   kState,
   kVersion,
+  kWaitedMs,
 };
 
 const char* ToString(LogKey key);
--- a/src/libbase/logger.cpp
+++ b/src/libbase/logger.cpp
@@ -72,6 +72,8 @@
       return "state";
     case LogKey::kVersion:
       return "version";
+    case LogKey::kWaitedMs:
+      return "waited_ms";
   }
   return "unknown";
 }
--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -20,9 +20,10 @@
 /// Work of a request on a cold upstream compared with a warm one, as the users
 /// describe their upstreams.
 constexpr double kColdWork = 1.6;
-/// Share of the open long flows of an upstream that have a request running at
-/// one moment, as weight against requests that are known to run.
-constexpr double kLongFlowWeight = 0.05;
+/// Weight of a request that runs now when a flow is placed for long.
+constexpr double kRunningWeight = 0.05;
+/// Weight of an open long flow, which may bring a request at any moment.
+constexpr double kLongFlowWeight = 0.01;
 constexpr double kMilli = 1000.0;
 
 }  // namespace
@@ -88,9 +89,12 @@
   const double running = m_running + m_placed_short + m_placed_long;
   const double flows = m_long_flows + m_placed_long;
   if (long_lived) {
-    return work * (flows + kLongFlowWeight * running) / slots;
+    return work * (flows + kRunningWeight * running) / slots;
   }
-  return work * (running + kLongFlowWeight * flows) / slots;
+  // All upstreams with a free slot are alike: the reports of the last moment
+  // would otherwise send every balancer's next flow to the same one.
+  const double queued = std::max(running + 1.0 - slots, 0.0);
+  return work * (queued + kLongFlowWeight * flows) / slots;
 }
 
 BalancerHeartbeat AgentPeer::MakeHeartbeat(
@@ -106,6 +110,7 @@
   heartbeat.entry_revision = m_entry_revision;
   heartbeat.draining = m_draining;
   heartbeat.zone_out = m_zone_out;
+  heartbeat.slots = m_slots;
   heartbeat.cold_left = std::max(
       duration_cast<milliseconds>(m_cold_until - now), milliseconds(0));
   heartbeat.cold_rate_milli = m_cold_rate_milli;
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -42,6 +42,9 @@
   /// better.
   double Load(bool long_lived, TimePoint now) const;
 
+  /// The upstream started a moment ago.
+  bool IsCold(TimePoint now) const { return now < m_cold_until; }
+
   /// What the agent must know of its upstream.
   BalancerHeartbeat MakeHeartbeat(
       Incarnation balancer,
--- a/src/libflow/flowdecision.cpp
+++ b/src/libflow/flowdecision.cpp
@@ -28,6 +28,10 @@
       return "packet_dropped";
     case FlowDecision::Kind::kHeld:
       return "packet_held";
+    case FlowDecision::Kind::kReleased:
+      return "request_released";
+    case FlowDecision::Kind::kUnanswered:
+      return "request_unanswered";
     case FlowDecision::Kind::kCount:
       break;
   }
--- a/src/libflow/flowdecision.h
+++ b/src/libflow/flowdecision.h
@@ -36,6 +36,10 @@
     kDropped,
     /// A packet waits for what is needed to decide on it.
     kHeld,
+    /// A request that waited went to the upstream.
+    kReleased,
+    /// An upstream has not begun to answer a request for long.
+    kUnanswered,
     kCount,
   };
 
@@ -51,6 +55,8 @@
   /// that report.
   std::uint32_t running = 0;
   std::chrono::milliseconds report_age{0};
+  /// How long the packet had waited.
+  std::chrono::milliseconds waited{0};
   /// Version of the configuration that decided.
   std::uint64_t configuration_version = 0;
 };
--- a/src/libflow/flowdirectory.h
+++ b/src/libflow/flowdirectory.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "libflow/agenttable.h"
+#include "libflow/flowclass.h"
 #include "libflow/flowtuple.h"
 
 namespace fireflytrestle {
@@ -22,9 +23,7 @@
   };
 
   State state = State::kOpening;
-  /// The route's requests may be repeated.
-  bool idempotent = false;
-  bool long_lived = false;
+  FlowClass flow_class;
   /// Packets of the caller came through this balancer.
   bool carried = false;
   /// Sequence number of the SYN, to tell a copy from a reused port.
--- a/src/libflow/flowkeeper.cpp
+++ b/src/libflow/flowkeeper.cpp
@@ -25,10 +25,20 @@
 /// A silent balancer still gets reports for this long: after a restart it has
 /// to learn of upstreams that the store no longer lists.
 constexpr milliseconds kBalancerTimeout{30000};
+/// Changes of load that matter are reported at once, but not more often.
+constexpr milliseconds kShortestReportInterval{20};
+/// New flows after which balancers must learn of the load.
+constexpr std::uint32_t kPlacedBeforeReport = 4;
 /// For this long a balancer counts as new.
 constexpr milliseconds kIntroduceFor{3000};
 /// Time for the last packets of a flow that is closing or was never confirmed.
 constexpr milliseconds kClosingTime{3000};
+/// A flow whose caller has not sent its request by then is not going to be
+/// used.
+constexpr milliseconds kOpeningTime{200};
+/// A request without an answer for this long no longer takes a slot, as far as
+/// the agent can tell.
+constexpr milliseconds kLongestRequest{2000};
 
 /// Whether sequence number \p a follows \p b.
 bool IsAfter(std::uint32_t a, std::uint32_t b) {
@@ -96,16 +106,25 @@
       Return(source, refusal, tuple, message.packet);
       return;
     }
+    if (m_gate.MustWait(m_running) && m_gate.IsCrowded(message.flow_class)) {
+      Return(source, ReturnReason::kUpstreamFull, tuple, message.packet);
+      return;
+    }
     if (!m_cold.TryAdmit(now)) {
       Return(source, ReturnReason::kUpstreamCold, tuple, message.packet);
       return;
     }
+    if (known != m_flows.end()) {
+      Forget(known);
+    }
     UpstreamFlow& flow = m_flows[tuple];
-    flow = {};
     flow.syn_sequence = packet.sequence;
     flow.data_sequence = packet.sequence;
-    flow.long_lived = message.long_lived;
+    flow.flow_class = message.flow_class;
     Report(Kind::kPlaced, tuple, source, "to_upstream");
+    if (++m_placed_since_status >= kPlacedBeforeReport) {
+      ReportSoon(now);
+    }
   }
   UpstreamFlow& flow = m_flows[tuple];
   flow.balancer = source;
@@ -126,14 +145,14 @@
   UpstreamFlow& flow = position->second;
   if (added) {
     flow.state = State::kUnconfirmed;
-    flow.long_lived = message.long_lived;
+    flow.flow_class = message.flow_class;
     flow.data_sequence = packet.sequence - 1;
   }
   if (flow.state == State::kOpening && !packet.reset) {
     // The caller opens the flow at the upstream whose number it acknowledges.
     const std::uint32_t ahead = packet.acknowledgment - flow.upstream_sequence;
     if (!flow.answered || ahead > 1) {
-      m_flows.erase(position);
+      Forget(position);
       SendUnknown(source, tuple, "opened_elsewhere");
       return;
     }
@@ -148,18 +167,114 @@
   flow.balancer = source;
   flow.last_packet = now;
   flow.acknowledgment = packet.acknowledgment;
-  if (packet.data_bytes > 0 &&
-      IsAfter(packet.sequence + packet.data_bytes, flow.data_sequence)) {
-    flow.data_sequence = packet.sequence + packet.data_bytes;
-    flow.running = true;
-  }
   if (packet.fin || packet.reset) {
     flow.state = State::kClosing;
-    flow.running = false;
+    EndRequest(&flow);
+    m_gate.Erase(tuple);
+  } else if (packet.data_bytes > 0) {
+    OnRequestData(message, packet, tuple, &flow, now);
+    return;
   }
   m_output->SendToUpstream(message.packet);
 }
 
+void FlowKeeper::OnRequestData(const DeliverMessage& message,
+                               const FlowPacket& packet,
+                               const FlowTuple& tuple,
+                               UpstreamFlow* flow,
+                               TimePoint now) {
+  const std::uint32_t end = packet.sequence + packet.data_bytes;
+  if (RequestGate::Request* waiting = m_gate.Find(tuple)) {
+    if (IsAfter(end, waiting->end_sequence)) {
+      waiting->end_sequence = end;
+      waiting->packets.emplace_back(message.packet.begin(),
+                                    message.packet.end());
+    }
+    return;
+  }
+  const bool begins = !flow->running && IsAfter(end, flow->data_sequence);
+  if (begins && flow->state == State::kOpen && m_gate.MustWait(m_running) &&
+      m_gate.HasRoom(flow->flow_class)) {
+    Report(Kind::kHeld, tuple, flow->balancer, "upstream_busy");
+    m_gate.Hold({tuple,
+                 flow->flow_class,
+                 now,
+                 end,
+                 {{message.packet.begin(), message.packet.end()}}});
+    return;
+  }
+  if (begins) {
+    StartRequest(flow, now);
+  }
+  if (IsAfter(end, flow->data_sequence)) {
+    flow->data_sequence = end;
+  }
+  m_output->SendToUpstream(message.packet);
+}
+
+void FlowKeeper::ReportSoon(TimePoint now) {
+  if (now - m_last_status >= kShortestReportInterval) {
+    SendStatus(now);
+  } else {
+    m_next_status = m_last_status + kShortestReportInterval;
+  }
+}
+
+void FlowKeeper::StartRequest(UpstreamFlow* flow, TimePoint now) {
+  flow->running = true;
+  flow->delivered = now;
+  if (++m_running == m_gate.slots()) {
+    ReportSoon(now);
+  }
+}
+
+void FlowKeeper::EndRequest(UpstreamFlow* flow) {
+  if (flow->running) {
+    flow->running = false;
+    --m_running;
+  }
+}
+
+void FlowKeeper::Forget(HeldFlows::iterator position) {
+  EndRequest(&position->second);
+  m_gate.Erase(position->first);
+  m_flows.erase(position);
+}
+
+void FlowKeeper::ReleaseRequests(TimePoint now) {
+  while (auto request = m_gate.Next(m_running, now)) {
+    const auto position = m_flows.find(request->tuple);
+    if (position == m_flows.end()) {
+      continue;
+    }
+    FlowDecision decision;
+    decision.kind = Kind::kReleased;
+    decision.tuple = request->tuple;
+    decision.reason = "slot_free";
+    decision.service = m_settings.service;
+    decision.running = m_running;
+    decision.waited =
+        std::chrono::duration_cast<milliseconds>(now - request->arrived);
+    m_output->Report(decision);
+    StartRequest(&position->second, now);
+    position->second.data_sequence = request->end_sequence;
+    for (const auto& packet : request->packets) {
+      m_output->SendToUpstream(packet);
+    }
+  }
+}
+
+void FlowKeeper::ExpireRequests(TimePoint now) {
+  for (const RequestGate::Request& request : m_gate.TakeExpired(now)) {
+    const auto position = m_flows.find(request.tuple);
+    if (position == m_flows.end()) {
+      continue;
+    }
+    Report(Kind::kDropped, request.tuple, position->second.balancer,
+           "caller_gave_up");
+  }
+}
+
 void FlowKeeper::OnUpstreamPacket(std::span<std::uint8_t> datagram,
                                   TimePoint now) {
   const std::optional<FlowPacket> packet = m_codec.Decode(datagram);
@@ -182,7 +297,7 @@
     // An upstream also resets flows that it has ended or never had, and the
     // caller's flow may be open elsewhere.
     const SocketAddress balancer = flow.balancer;
-    m_flows.erase(position);
+    Forget(position);
     if (balancer != SocketAddress{}) {
       SendUnknown(balancer, tuple, "reset_by_upstream");
     }
@@ -194,14 +309,16 @@
   } else if (flow.state == State::kUnconfirmed) {
     Confirm(tuple, &flow);
   }
-  if (packet->data_bytes > 0) {
-    flow.running = false;
+  if (packet->data_bytes > 0 && flow.running) {
+    m_gate.OnAnswer(now - flow.delivered);
+    EndRequest(&flow);
   }
   if (packet->fin || packet->reset) {
     flow.state = State::kClosing;
-    flow.running = false;
+    EndRequest(&flow);
   }
   m_output->SendToCaller(tuple.caller, datagram);
+  ReleaseRequests(now);
 }
 
 void FlowKeeper::OnHandedBack(const FlowPacket& packet,
@@ -217,12 +334,12 @@
   m_codec.ClearBounced(datagram);
   if (packet.IsOpening()) {
     if (flow.state == State::kOpening && !flow.answered) {
-      m_flows.erase(position);
+      Forget(position);
     }
     Return(flow.balancer, ReturnReason::kUpstreamFull, tuple, datagram);
     return;
   }
-  m_flows.erase(position);
+  Forget(position);
   if (flow.state == State::kOpen) {
     Reset(tuple, flow, "upstream_lost_flow");
   } else if (flow.state == State::kUnconfirmed) {
@@ -271,6 +388,7 @@
       m_cold.SetCold(now + heartbeat.cold_left, heartbeat.cold_rate_milli);
     }
     m_entry_revision = heartbeat.entry_revision;
+    m_gate.SetSlots(heartbeat.slots);
     m_draining = heartbeat.draining;
   }
 }
@@ -296,6 +414,8 @@
     }
   }
   m_flows.clear();
+  m_gate = {};
+  m_running = 0;
 }
 
 void FlowKeeper::OnUpstreamUp(TimePoint now) {
@@ -320,17 +440,27 @@
     m_next_sweep = now + kSweepInterval;
     Sweep(now);
   }
+  ExpireRequests(now);
+  ReleaseRequests(now);
   if (now >= m_next_status) {
     SendStatus(now);
   }
 }
 
 void FlowKeeper::Sweep(TimePoint now) {
-  std::erase_if(m_flows, [&](const auto& item) {
-    const Duration idle = now - item.second.last_packet;
-    const bool open = item.second.state == State::kOpen;
-    return idle > (open ? m_settings.flow_lifetime : kClosingTime);
-  });
+  for (auto each = m_flows.begin(); each != m_flows.end();) {
+    const auto position = each++;
+    UpstreamFlow& flow = position->second;
+    if (flow.running && now - flow.delivered > kLongestRequest) {
+      Report(Kind::kUnanswered, position->first, flow.balancer, "no_answer");
+      EndRequest(&flow);
+    }
+    const Duration idle = now - flow.last_packet;
+    const bool open = flow.state == State::kOpen;
+    if (idle > (open ? m_settings.flow_lifetime : kClosingTime)) {
+      Forget(position);
+    }
+  }
   std::erase_if(m_balancers, [&](const auto& item) {
     const bool gone = now - item.second.heard > kBalancerTimeout;
     if (gone) {
@@ -340,19 +470,13 @@
   });
 }
 
-std::uint32_t FlowKeeper::running() const {
-  return static_cast<std::uint32_t>(
-      std::count_if(m_flows.begin(), m_flows.end(),
-                    [](const auto& item) { return item.second.running; }));
-}
-
 AgentStatus FlowKeeper::MakeStatus(TimePoint now) const {
   AgentStatus status;
   status.incarnation = m_settings.incarnation;
   status.service = m_settings.service;
   status.zone = m_settings.zone;
   status.phase = m_phase;
-  status.running = running();
+  status.running = m_running + static_cast<std::uint32_t>(m_gate.size());
   for (const auto& [address, balancer] : m_balancers) {
     if (now - balancer.appeared < kIntroduceFor &&
         status.new_balancers.size() < kMaxNewBalancers) {
@@ -363,13 +487,20 @@
     const bool counts =
         flow.state == State::kOpening || flow.state == State::kOpen;
     status.flows += counts ? 1 : 0;
-    status.long_flows += counts && flow.long_lived ? 1 : 0;
+    status.long_flows += counts && flow.flow_class.long_lived ? 1 : 0;
+    // A flow for one request is about to bring it.
+    const bool brings_request = flow.state == State::kOpening &&
+                                !flow.flow_class.long_lived &&
+                                now - flow.last_packet < kOpeningTime;
+    status.running += brings_request ? 1 : 0;
   }
   return status;
 }
 
 void FlowKeeper::SendStatus(TimePoint now) {
+  m_last_status = now;
   m_next_status = now + SilenceJudge::kReportInterval;
+  m_placed_since_status = 0;
   AgentStatus status = MakeStatus(now);
   do {
     const std::size_t count = std::min(m_opened.size(), kMaxFlowsPerStatus);
--- a/src/libflow/flowkeeper.h
+++ b/src/libflow/flowkeeper.h
@@ -11,6 +11,7 @@
 #include "libflow/flowdecision.h"
 #include "libflow/heldflows.h"
 #include "libflow/nodemessage.h"
+#include "libflow/requestgate.h"
 
 namespace fireflytrestle {
 
@@ -61,7 +62,10 @@
   void OnTick(TimePoint now);
 
   std::size_t flow_count() const { return m_flows.size(); }
-  std::uint32_t running() const;
+  /// Requests that the upstream has and has not begun to answer.
+  std::uint32_t running() const { return m_running; }
+  /// Requests that wait for a slot of the upstream.
+  std::size_t waiting() const { return m_gate.size(); }
   AgentPhase phase() const { return m_phase; }
 
  private:
@@ -88,6 +92,21 @@
                     const FlowPacket& packet,
                     const FlowTuple& tuple,
                     TimePoint now);
+  /// Delivers or holds a packet with new data of the caller.
+  void OnRequestData(const DeliverMessage& message,
+                     const FlowPacket& packet,
+                     const FlowTuple& tuple,
+                     UpstreamFlow* flow,
+                     TimePoint now);
+  /// Sends a report now or as soon as one may follow the last.
+  void ReportSoon(TimePoint now);
+  void StartRequest(UpstreamFlow* flow, TimePoint now);
+  void EndRequest(UpstreamFlow* flow);
+  void Forget(HeldFlows::iterator position);
+  /// Delivers requests that waited for a slot.
+  void ReleaseRequests(TimePoint now);
+  /// Resets flows whose callers have given up waiting.
+  void ExpireRequests(TimePoint now);
   void OnHandedBack(const FlowPacket& packet,
                     std::span<std::uint8_t> datagram,
                     TimePoint now);
@@ -126,7 +145,12 @@
   Revision m_entry_revision{};
   bool m_draining = false;
   ColdAdmission m_cold;
+  RequestGate m_gate;
+  /// Flows with \ref UpstreamFlow::running.
+  std::uint32_t m_running = 0;
   TimePoint m_next_status;
+  TimePoint m_last_status{};
+  std::uint32_t m_placed_since_status = 0;
   TimePoint m_next_sweep;
 };
 
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -9,6 +9,7 @@
 #include "libflow/flowpacket.h"
 #include "libflow/nodemessagecodec.h"
 #include "libflow/packetcodec.h"
+#include "libsite/storefollower.h"
 
 namespace fireflytrestle {
 
@@ -24,20 +25,27 @@
 /// A copy of a SYN that comes this long after it shows that the first agent
 /// does not answer: callers repeat after 200 ms, an answer takes under 20 ms.
 constexpr milliseconds kUnanswered{120};
-/// An older view may lack an upstream that holds flows by now.
-constexpr milliseconds kViewAge{2500};
+/// An older view may lack an upstream that holds flows by now. A store that
+/// answers confirms the view at the end of each watch.
+constexpr milliseconds kViewAge =
+    StoreFollower::kWatchWait + StoreFollower::kAnswerTimeout;
 /// By then, agents that the store no longer lists have heard of a new balancer
 /// and reported to it.
 constexpr milliseconds kIntroductionTime{1000};
 /// Agents answer the first heartbeat at once; those that have not done so by
 /// then are down.
-constexpr milliseconds kReportPatience{60};
+constexpr milliseconds kReportPatience{150};
 /// Agents that one SYN may go to.
 constexpr std::uint8_t kMaxPlacements = 4;
 /// Further placements: 30% of the new flows, and a steady minimum.
 constexpr double kRetryShare = 0.3;
 constexpr double kRetriesPerSecond = 20.0;
 
+FlowClass ClassOf(const RouteSettings& route) {
+  return {route.idempotent, route.long_lived, route.latency_objective,
+          route.timeout};
+}
+
 bool Remove(std::vector<AgentPeerPtr>* agents, const AgentPeerPtr& agent) {
   return std::erase(*agents, agent) > 0;
 }
@@ -122,8 +130,7 @@
     Reset(tuple, packet.acknowledgment, "too_many_flows", nullptr, now);
     return;
   }
-  entry->idempotent = route->second.idempotent;
-  entry->long_lived = route->second.long_lived;
+  entry->flow_class = ClassOf(route->second);
   entry->carried = true;
   entry->syn_sequence = packet.sequence;
   entry->acknowledgment = packet.acknowledgment;
@@ -145,8 +152,9 @@
                                    : SelectService(route->second, tuple);
   AgentPeerPtr agent;
   if (service != nullptr && entry->placements < kMaxPlacements) {
-    agent = SelectAgent(m_agents.OfService(*service), tuple, entry->long_lived,
-                        entry->asked, m_settings.zone, now);
+    agent = SelectAgent(m_agents.OfService(*service), tuple,
+                        entry->flow_class.long_lived, entry->asked,
+                        m_settings.zone, now);
   }
   if (!agent) {
     const bool tried = entry->placements > 0;
@@ -162,7 +170,7 @@
   entry->state = State::kOpening;
   entry->placed = now;
   entry->owner = agent;
-  agent->OnPlaced(entry->long_lived);
+  agent->OnPlaced(entry->flow_class.long_lived);
   Deliver(*entry, agent, false, datagram);
 }
 
@@ -193,7 +201,8 @@
     }
     return;
   }
-  if (entry->owner->silent() && entry->idempotent && m_judge.IsTrusted(now)) {
+  if (entry->owner->silent() && entry->flow_class.idempotent &&
+      m_judge.IsTrusted(now)) {
     Reset(tuple, packet.acknowledgment, "agent_silent", entry->owner.get(),
           now);
     m_flows.Erase(tuple);
@@ -219,8 +228,7 @@
     return;
   }
   entry->state = State::kSearching;
-  entry->idempotent = route->second.idempotent;
-  entry->long_lived = route->second.long_lived;
+  entry->flow_class = ClassOf(route->second);
   entry->carried = true;
   entry->acknowledgment = packet.acknowledgment;
   entry->placed = now;
@@ -241,7 +249,7 @@
                          std::span<const std::uint8_t> datagram) {
   m_output->SendToNode(
       agent->address(),
-      DeliverMessage{agent->service(), search, entry.long_lived, datagram});
+      DeliverMessage{agent->service(), search, entry.flow_class, datagram});
 }
 
 void FlowRouter::Reset(const FlowTuple& tuple,
@@ -340,9 +348,16 @@
 }
 
 bool FlowRouter::KnowsAllUpstreams(TimePoint now) const {
-  return m_view->configuration_version != 0 &&
-         now - m_view_confirmed < kViewAge && m_first_view != TimePoint{} &&
-         now - m_first_view >= kIntroductionTime;
+  if (m_first_view == TimePoint{} || now - m_view_confirmed >= kViewAge) {
+    return false;
+  }
+  // Where most upstreams have just started there is no old one to be missed.
+  std::size_t cold = 0;
+  for (const auto& [address, agent] : m_agents.all()) {
+    cold += agent->IsCold(now) ? 1 : 0;
+  }
+  return now - m_first_view >= kIntroductionTime ||
+         2 * cold > m_agents.all().size();
 }
 
 void FlowRouter::On(const SocketAddress& source,
@@ -372,8 +387,7 @@
       entry->last_packet = now;
       const auto route = m_view->routes.find(held.tuple.route);
       if (route != m_view->routes.end()) {
-        entry->idempotent = route->second.idempotent;
-        entry->long_lived = route->second.long_lived;
+        entry->flow_class = ClassOf(route->second);
       }
     } else if (entry->state == State::kSearching) {
       Report(Kind::kFound, held.tuple, agent.get(), "report", now);
@@ -426,12 +440,12 @@
   std::vector<FlowTuple> abandoned;
   for (auto& [tuple, entry] : m_flows.flows()) {
     if (entry.owner == agent && entry.state == State::kOpen &&
-        entry.idempotent && entry.carried) {
+        entry.flow_class.idempotent && entry.carried) {
       Reset(tuple, entry.acknowledgment, "agent_silent", agent.get(), now);
       abandoned.push_back(tuple);
     } else if (entry.state == State::kSearching &&
                Remove(&entry.asked, agent) && entry.asked.empty() &&
-               entry.idempotent && KnowsAllUpstreams(now)) {
+               entry.flow_class.idempotent && KnowsAllUpstreams(now)) {
       Reset(tuple, entry.acknowledgment, "no_owner", agent.get(), now);
       abandoned.push_back(tuple);
     }
--- a/src/libflow/heldflows.h
+++ b/src/libflow/heldflows.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "libbase/clock.h"
+#include "libflow/flowclass.h"
 #include "libflow/flowtuple.h"
 
 namespace fireflytrestle {
@@ -22,11 +23,13 @@
   };
 
   State state = State::kOpening;
-  bool long_lived = false;
+  FlowClass flow_class;
   /// The upstream has answered the SYN with \ref upstream_sequence.
   bool answered = false;
   /// A request is with the upstream, which has not begun to answer it.
   bool running = false;
+  /// When that request went to the upstream.
+  TimePoint delivered{};
   std::uint32_t syn_sequence = 0;
   std::uint32_t upstream_sequence = 0;
   /// Highest sequence number of data that the caller sent.
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -10,6 +10,7 @@
 
 #include "libbase/ids.h"
 #include "libbase/socketaddress.h"
+#include "libflow/flowclass.h"
 #include "libflow/flowtuple.h"
 
 namespace fireflytrestle {
@@ -24,8 +25,7 @@
   /// The balancer does not know the owner of the flow and asks all agents of
   /// the service.
   bool search = false;
-  /// Callers keep the flows of this route open for many requests.
-  bool long_lived = false;
+  FlowClass flow_class;
   std::span<const std::uint8_t> packet;
 };
 
@@ -67,6 +67,8 @@
   Revision entry_revision{};
   bool draining = false;
   bool zone_out = false;
+  /// Requests that the upstream works on at once.
+  std::uint32_t slots = 0;
   /// Rest of the cold start when the heartbeat was sent; 0 for a warm one.
   std::chrono::milliseconds cold_left{0};
   /// Requests a second, in thousandths, that the upstream bears while cold; 0
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -19,10 +19,10 @@
   kCount,
 };
 
-constexpr std::uint32_t kDeliverFields = 5;
+constexpr std::uint32_t kDeliverFields = 8;
 constexpr std::uint32_t kReturnFields = 3;
 constexpr std::uint32_t kFlowUnknownFields = 5;
-constexpr std::uint32_t kHeartbeatFields = 8;
+constexpr std::uint32_t kHeartbeatFields = 9;
 constexpr std::uint32_t kStatusFields = 10;
 constexpr std::uint32_t kFlowFields = 5;
 constexpr std::uint32_t kAddressFields = 2;
@@ -31,7 +31,7 @@
 constexpr std::uint64_t kMax16 = std::numeric_limits<std::uint16_t>::max();
 constexpr std::uint64_t kMax32 = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t kMax64 = std::numeric_limits<std::uint64_t>::max();
-constexpr std::uint64_t kMaxColdMs = 3600 * 1000;
+constexpr std::uint64_t kMaxMs = 24 * 3600 * 1000;
 
 void WriteHead(MsgpackWriter* writer, Kind kind, std::uint32_t fields) {
   writer->WriteArray(fields);
@@ -48,11 +48,22 @@
   return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
 }
 
+void WriteTime(MsgpackWriter* writer, std::chrono::milliseconds time) {
+  writer->WriteUint(static_cast<std::uint64_t>(time.count()));
+}
+
+std::chrono::milliseconds ReadTime(MsgpackReader* reader) {
+  return std::chrono::milliseconds(reader->ReadUint(0, kMaxMs));
+}
+
 void Write(MsgpackWriter* writer, const DeliverMessage& message) {
   WriteHead(writer, Kind::kDeliver, kDeliverFields);
   WriteName(writer, message.service);
   writer->WriteBool(message.search);
-  writer->WriteBool(message.long_lived);
+  writer->WriteBool(message.flow_class.idempotent);
+  writer->WriteBool(message.flow_class.long_lived);
+  WriteTime(writer, message.flow_class.latency_objective);
+  WriteTime(writer, message.flow_class.timeout);
   writer->WriteBinary(message.packet);
 }
 
@@ -115,7 +126,8 @@
   writer->WriteUint(static_cast<std::uint64_t>(message.entry_revision));
   writer->WriteBool(message.draining);
   writer->WriteBool(message.zone_out);
-  writer->WriteUint(static_cast<std::uint64_t>(message.cold_left.count()));
+  writer->WriteUint(message.slots);
+  WriteTime(writer, message.cold_left);
   writer->WriteUint(message.cold_rate_milli);
   WriteAddresses(writer, message.new_balancers);
 }
@@ -146,7 +158,10 @@
   DeliverMessage message;
   message.service = ReadName(reader);
   message.search = reader->ReadBool();
-  message.long_lived = reader->ReadBool();
+  message.flow_class.idempotent = reader->ReadBool();
+  message.flow_class.long_lived = reader->ReadBool();
+  message.flow_class.latency_objective = ReadTime(reader);
+  message.flow_class.timeout = ReadTime(reader);
   message.packet = reader->ReadBinary(std::numeric_limits<std::size_t>::max());
   return message;
 }
@@ -169,8 +184,8 @@
   reader->Read(&message.entry_revision, 0, kMax64);
   message.draining = reader->ReadBool();
   message.zone_out = reader->ReadBool();
-  message.cold_left =
-      std::chrono::milliseconds(reader->ReadUint(0, kMaxColdMs));
+  reader->Read(&message.slots, 0, kMax32);
+  message.cold_left = ReadTime(reader);
   reader->Read(&message.cold_rate_milli, 0, kMax32);
   message.new_balancers = ReadAddresses(reader);
   return message;
--- a/src/libnet/flowreport.cpp
+++ b/src/libnet/flowreport.cpp
@@ -34,18 +34,19 @@
   }
   const auto age = static_cast<std::uint64_t>(
       std::max<std::int64_t>(decision.report_age.count(), 0));
-  m_logger->Write(LevelOf(decision.kind), ToString(decision.kind),
-                  decision.reason,
-                  {{LogKey::kFlow, decision.tuple == FlowTuple{}
-                                       ? std::string()
-                                       : FlowName(decision.tuple)},
-                   {LogKey::kPeer, decision.peer == SocketAddress{}
-                                       ? std::string()
-                                       : ToString(decision.peer)},
-                   {LogKey::kService, std::string(decision.service)},
-                   {LogKey::kRunning, std::uint64_t{decision.running}},
-                   {LogKey::kReportAgeMs, age},
-                   {LogKey::kVersion, decision.configuration_version}});
+  m_logger->Write(
+      LevelOf(decision.kind), ToString(decision.kind), decision.reason,
+      {{LogKey::kFlow, decision.tuple == FlowTuple{}
+                           ? std::string()
+                           : FlowName(decision.tuple)},
+       {LogKey::kPeer, decision.peer == SocketAddress{}
+                           ? std::string()
+                           : ToString(decision.peer)},
+       {LogKey::kService, std::string(decision.service)},
+       {LogKey::kRunning, std::uint64_t{decision.running}},
+       {LogKey::kReportAgeMs, age},
+       {LogKey::kWaitedMs, static_cast<std::uint64_t>(decision.waited.count())},
+       {LogKey::kVersion, decision.configuration_version}});
 }
 
 void FlowReport::WriteMetrics(MetricsWriter* metrics) const {
--- a/src/libsite/storefollower.cpp
+++ b/src/libsite/storefollower.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds kShortestRetry{100};
 constexpr milliseconds kLongestRetry{800};
 constexpr int kMostDoublings = 3;
+/// Changes come in bursts; those of this time share the next answer.
+constexpr milliseconds kGather{100};
 
 }  // namespace
 
@@ -95,6 +97,9 @@
     changed |= m_state->Apply(item, now);
   }
   m_position = std::max(m_position, answer.as_of);
+  if (!answer.items.empty()) {
+    m_next = now + kGather;
+  }
   return changed;
 }
 
--- a/src/libsite/storefollower.h
+++ b/src/libsite/storefollower.h
@@ -33,8 +33,8 @@
   };
 
   /// How long a watch waits. A connection that went silent is noticed only at
-  /// its end, and changes must be in force within 3 s.
-  static constexpr std::chrono::milliseconds kWatchWait{1200};
+  /// its end, and an instance counts as undisturbed again 4 s after that.
+  static constexpr std::chrono::milliseconds kWatchWait{3000};
   /// A read that is not answered this long after its wait has failed.
   static constexpr std::chrono::milliseconds kAnswerTimeout{800};
 
--- /dev/null
+++ b/tests/libflow/placementtest.cpp
@@ -0,0 +1,83 @@
+#include <doctest/doctest.h>
+
+#include "flowsite.h"
+
+namespace fireflytrestle {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+std::size_t MostOpened(const FlowSite& site) {
+  std::size_t most = 0;
+  for (const auto& agent : site.agents) {
+    most = std::max(most, agent->upstream->opened.size());
+  }
+  return most;
+}
+
+}  // namespace
+
+TEST_CASE("pattern: many balancers place orders between two reports") {
+  // Nine balancers see the same reports; twelve orders come within one
+  // interval and find seven upstreams with three slots each.
+  FlowSite site(9, 7);
+  for (std::uint32_t order = 0; order < 12; ++order) {
+    site.Open(order % 9, FlowSite::Tuple(order + 1, FlowSite::kOrderRoute));
+  }
+  CHECK(MostOpened(site) <= 4);
+}
+
+TEST_CASE("pattern: a burst of orders at one balancer fills free slots first") {
+  FlowSite site(1, 4, 2);
+  for (std::uint32_t order = 0; order < 8; ++order) {
+    site.Open(0, FlowSite::Tuple(order + 1, FlowSite::kOrderRoute));
+  }
+  CHECK(MostOpened(site) == 2);
+}
+
+TEST_CASE("pattern: long flows pile up nowhere") {
+  FlowSite site(3, 5);
+  for (std::uint32_t caller = 0; caller < 100; ++caller) {
+    site.Open(caller % 3, FlowSite::Tuple(caller + 1));
+    site.Run(milliseconds(20));
+  }
+  CHECK(MostOpened(site) <= 26);
+}
+
+TEST_CASE("pattern: a herd after an outage does not crush the first upstream") {
+  // All flows are gone; the agents start one after the other, and callers come
+  // back at once.
+  FlowSite site(2, 4);
+  for (const auto& agent : site.agents) {
+    agent->running = false;
+  }
+  site.clock.Advance(std::chrono::seconds(3));
+  site.StartBalancer(0);
+  site.StartBalancer(1);
+  site.StartAgent(0);
+  site.Publish();
+  for (std::uint32_t caller = 0; caller < 80; ++caller) {
+    site.SendSyn(caller % 2, FlowSite::Tuple(caller + 1));
+  }
+  for (std::size_t agent = 1; agent < 4; ++agent) {
+    site.Run(milliseconds(30));
+    site.StartAgent(agent);
+    site.Publish();
+  }
+  site.Run(milliseconds(400));
+  CHECK(MostOpened(site) <= 30);
+}
+
+TEST_CASE("packets that come before the first view are not lost") {
+  FlowSite site(1, 2);
+  site.StartBalancer(0);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.SendSyn(0, tuple);
+  CHECK(site.Offered(tuple) == 0);
+  site.Publish();
+  site.Run(milliseconds(100));
+  CHECK(site.Offered(tuple) != 0);
+}
+
+}  // namespace fireflytrestle
