--- a/src/libflow/agenttable.cpp
+++ b/src/libflow/agenttable.cpp
@@ -60,9 +60,9 @@
 
 const std::vector<AgentPeerPtr>& AgentTable::OfService(
     const std::string& service) const {
-  static const std::vector<AgentPeerPtr> kNone;
+  static const std::vector<AgentPeerPtr> none;
   const auto position = m_by_service.find(service);
-  return position == m_by_service.end() ? kNone : position->second;
+  return position == m_by_service.end() ? none : position->second;
 }
 
 void AgentTable::Index() {
