--- a/src/flowagent/flowagentprocess.cpp
+++ b/src/flowagent/flowagentprocess.cpp
@@ -27,7 +27,7 @@
       m_clock(clock),
       m_logger(logger),
       m_report(logger),
-      m_signals([this] { BeginStop(); }) {}
+      m_signals([this] { BeginStop(); }, [this] { OnReload(); }) {}
 
 FlowAgentProcess::~FlowAgentProcess() {
   m_admin.reset();
@@ -62,6 +62,13 @@
   return {};
 }
 
+void FlowAgentProcess::OnReload() {
+  // Every setting is a flag, which a running process cannot be given anew.
+  m_logger->Write(
+      LogLevel::kInfo, "reload",
+      "settings are read at start; the present ones stay in effect");
+}
+
 void FlowAgentProcess::BeginStop() {
   m_logger->Write(LogLevel::kInfo, "stopping",
                   "balancers are told to keep the flows");
--- a/src/flowagent/flowagentprocess.h
+++ b/src/flowagent/flowagentprocess.h
@@ -32,6 +32,7 @@
 
  private:
   void BeginStop();
+  void OnReload();
   std::string Metrics() const;
   std::string State() const;
 
--- a/src/flowbalancer/flowbalancerprocess.cpp
+++ b/src/flowbalancer/flowbalancerprocess.cpp
@@ -47,7 +47,7 @@
                 [this](TimePoint at) {
                   m_thread.Post([this, at] { m_worker->ConfirmView(at); });
                 }}),
-      m_signals([this] { BeginStop(); }) {}
+      m_signals([this] { BeginStop(); }, [this] { OnReload(); }) {}
 
 FlowBalancerProcess::~FlowBalancerProcess() {
   m_admin.reset();
@@ -90,6 +90,13 @@
   return reason->empty();
 }
 
+void FlowBalancerProcess::OnReload() {
+  // Every setting is a flag, which a running process cannot be given anew.
+  m_logger->Write(
+      LogLevel::kInfo, "reload",
+      "settings are read at start; the present ones stay in effect");
+}
+
 void FlowBalancerProcess::BeginStop() {
   m_logger->Write(LogLevel::kInfo, "stopping",
                   "packets are forwarded until none arrives");
--- a/src/flowbalancer/flowbalancerprocess.h
+++ b/src/flowbalancer/flowbalancerprocess.h
@@ -44,6 +44,7 @@
 
  private:
   void BeginStop();
+  void OnReload();
   void CheckStopped();
   bool IsReady(std::string* reason) const;
   std::string Metrics() const;
--- a/src/flowbalancer/main.cpp
+++ b/src/flowbalancer/main.cpp
@@ -30,12 +30,7 @@
     const SiteFormat decoder;
     const PacketLayout codec;
     FlowBalancerProcess process(
-        settings,
-        {&store,
-         &decoder,
-         &codec,
-         {std::string()}},
-        clock, &logger);
+        settings, {&store, &decoder, &codec, {std::string()}}, clock, &logger);
     BOOST_LEAF_CHECK(process.Start());
     QCoreApplication::exec();
     return {};
--- a/src/libnet/stopsignals.cpp
+++ b/src/libnet/stopsignals.cpp
@@ -18,13 +18,23 @@
 static_assert(std::atomic<int>::is_always_lock_free);
 static_assert(std::atomic<bool>::is_always_lock_free);
 
-void OnSignal(int /*signal*/) {
+constexpr char kStop = 's';
+constexpr char kReload = 'r';
+
+// A write that fails has met a full pipe, whose bytes say the same.
+void Notify(char event) {
+  [[maybe_unused]] const ssize_t written = write(g_write_end, &event, 1);
+}
+
+void OnSignal(int signal) {
+  if (signal == SIGHUP) {
+    Notify(kReload);
+    return;
+  }
   if (g_stop_requested.exchange(true)) {
     _exit(EXIT_FAILURE);
   }
-  const char byte = 0;
-  // The pipe is empty at the first signal, so the write does not fail.
-  [[maybe_unused]] const ssize_t written = write(g_write_end, &byte, 1);
+  Notify(kStop);
 }
 
 void SetHandler(int signal, void (*handler)(int)) {
@@ -36,7 +46,9 @@
 
 }  // namespace
 
-StopSignals::StopSignals(std::function<void()> on_stop) {
+StopSignals::StopSignals(std::function<void()> on_stop,
+                         std::function<void()> on_reload)
+    : m_on_stop(std::move(on_stop)), m_on_reload(std::move(on_reload)) {
   int ends[2] = {-1, -1};
   if (pipe2(ends, O_CLOEXEC | O_NONBLOCK) != 0) {
     std::abort();
@@ -47,16 +59,29 @@
   m_notifier =
       std::make_unique<QSocketNotifier>(m_read_end, QSocketNotifier::Read);
   QObject::connect(m_notifier.get(), &QSocketNotifier::activated,
-                   m_notifier.get(), [this, on_stop = std::move(on_stop)] {
-                     m_notifier->setEnabled(false);
-                     on_stop();
-                   });
+                   m_notifier.get(), [this] { Read(); });
+  if (m_on_reload) {
+    SetHandler(SIGHUP, OnSignal);
+  }
   SetHandler(SIGTERM, OnSignal);
   SetHandler(SIGINT, OnSignal);
   SetHandler(SIGPIPE, SIG_IGN);
 }
 
+void StopSignals::Read() {
+  char event = 0;
+  while (read(m_read_end, &event, 1) == 1) {
+    if (event == kStop) {
+      m_notifier->setEnabled(false);
+      m_on_stop();
+      return;
+    }
+    m_on_reload();
+  }
+}
+
 StopSignals::~StopSignals() {
+  SetHandler(SIGHUP, SIG_DFL);
   SetHandler(SIGTERM, SIG_DFL);
   SetHandler(SIGINT, SIG_DFL);
   m_notifier.reset();
--- a/src/libnet/stopsignals.h
+++ b/src/libnet/stopsignals.h
@@ -8,19 +8,25 @@
 
 namespace fireflytrestle {
 
-/// \brief Calls a handler on the event loop at the first SIGTERM or SIGINT. The
+/// \brief Calls a handler on the event loop at the first SIGTERM or SIGINT, and
+/// another one at each SIGHUP. The
 /// second one ends the process at once with exit code 1, even if the event loop
 /// does not run.
 class StopSignals {
  public:
   /// At most one object may exist at a time.
-  explicit StopSignals(std::function<void()> on_stop);
+  explicit StopSignals(std::function<void()> on_stop,
+                       std::function<void()> on_reload = nullptr);
   ~StopSignals();
 
   StopSignals(const StopSignals&) = delete;
   StopSignals& operator=(const StopSignals&) = delete;
 
  private:
+  void Read();
+
+  std::function<void()> m_on_stop;
+  std::function<void()> m_on_reload;
   int m_read_end = -1;
   std::unique_ptr<QSocketNotifier> m_notifier;
 };
--- /dev/null
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -0,0 +1,89 @@
+#include "libflow/nodemessagecodec.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+namespace fireflytrestle {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+std::vector<std::uint8_t> Encode(const NodeMessage& message) {
+  std::vector<std::uint8_t> bytes(1500);
+  bytes.resize(EncodeNodeMessage(message, bytes));
+  return bytes;
+}
+
+NodeMessage Status(std::size_t flows) {
+  AgentStatus status;
+  status.incarnation = Incarnation{7};
+  status.service = "a-service-with-quite-a-long-name";
+  status.zone = "a-zone";
+  status.running = 0xFFFFFFFF;
+  status.flows = 0xFFFFFFFF;
+  status.long_flows = 0xFFFFFFFF;
+  for (std::size_t i = 0; i < flows; ++i) {
+    status.opened.push_back(
+        {{{0xFFFFFFFF, 0xFFFF}, {0xFFFFFFFF, 0xFFFF}}, 0xFFFFFFFF});
+  }
+  status.new_balancers.assign(kMaxNewBalancers, {0xFFFFFFFF, 0xFFFF});
+  return status;
+}
+
+}  // namespace
+
+TEST_CASE("a packet is delivered as it came") {
+  const std::vector<std::uint8_t> packet(1232, 0xA5);
+  DeliverMessage message;
+  message.service = "counter";
+  message.search = true;
+  message.flow_class = {true, false, milliseconds(120), milliseconds(800)};
+  message.packet = packet;
+  const std::vector<std::uint8_t> bytes = Encode(message);
+  const auto decoded = DecodeNodeMessage(bytes);
+  REQUIRE(decoded);
+  const auto& read = std::get<DeliverMessage>(*decoded);
+  CHECK(read.service == "counter");
+  CHECK(read.search);
+  CHECK(read.flow_class == message.flow_class);
+  CHECK(std::equal(read.packet.begin(), read.packet.end(), packet.begin(),
+                   packet.end()));
+}
+
+TEST_CASE("the largest report fits a datagram") {
+  const std::vector<std::uint8_t> bytes = Encode(Status(kMaxFlowsPerStatus));
+  REQUIRE(!bytes.empty());
+  const auto decoded = DecodeNodeMessage(bytes);
+  REQUIRE(decoded);
+  CHECK(std::get<AgentStatus>(*decoded).opened.size() == kMaxFlowsPerStatus);
+  CHECK_FALSE(DecodeNodeMessage(Encode(Status(kMaxFlowsPerStatus + 1))));
+}
+
+TEST_CASE("every truncation of a message is refused") {
+  const std::vector<std::uint8_t> bytes = Encode(Status(3));
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    CHECK_FALSE(DecodeNodeMessage(std::span(bytes.data(), size)));
+  }
+}
+
+TEST_CASE("200,000 mutated messages are read or refused") {
+  std::mt19937_64 random(20261204);
+  BalancerHeartbeat heartbeat;
+  heartbeat.new_balancers = {{1, 2}};
+  const std::vector<NodeMessage> messages = {
+      DeliverMessage{"counter", false, {}, {}},
+      ReturnMessage{ReturnReason::kUpstreamFull, {}}, FlowUnknownMessage{},
+      heartbeat, Status(2)};
+  for (int i = 0; i < 200'000; ++i) {
+    std::vector<std::uint8_t> bytes = Encode(messages[random() % 5]);
+    bytes.resize(bytes.size() - random() % 2);
+    for (int change = 0; change < 2; ++change) {
+      bytes[random() % bytes.size()] = static_cast<std::uint8_t>(random());
+    }
+    DecodeNodeMessage(bytes);
+  }
+}
+
+}  // namespace fireflytrestle
--- a/tests/libnet/stopsignalstest.cpp
+++ b/tests/libnet/stopsignalstest.cpp
@@ -20,6 +20,21 @@
   CHECK(RunUntil([&] { return stops == 1; }));
 }
 
+TEST_CASE("A reload signal is reported each time and stops nothing") {
+  // Guards against a process that ends because its settings file changed.
+  NeedEventLoop();
+  int stops = 0;
+  int reloads = 0;
+  const StopSignals signals([&] { ++stops; }, [&] { ++reloads; });
+  raise(SIGHUP);
+  CHECK(RunUntil([&] { return reloads == 1; }));
+  raise(SIGHUP);
+  CHECK(RunUntil([&] { return reloads == 2; }));
+  CHECK(stops == 0);
+  raise(SIGTERM);
+  CHECK(RunUntil([&] { return stops == 1; }));
+}
+
 TEST_CASE("The second signal ends the process without its event loop") {
   // Guards against a process that can only be killed.
   NeedEventLoop();
--- /dev/null
+++ b/tests/libsite/storefollowertest.cpp
@@ -0,0 +1,183 @@
+#include "libsite/storefollower.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/leaf/result.hpp>
+
+#include "libbase/manualclock.h"
+#include "libbase/seededrandom.h"
+#include "libsite/recorddecoder.h"
+#include "libsite/sitestate.h"
+#include "libsite/siteview.h"
+
+namespace fireflytrestle {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// \brief Items of the tests: "config" with a version, "zone/NAME", and
+/// "up/NAME" with a number that makes its address.
+class TestDecoder : public RecordDecoder {
+ public:
+  boost::leaf::result<SiteRecord> Decode(
+      const std::string& key,
+      std::string_view value) const override {
+    if (key == "config") {
+      SiteConfiguration configuration;
+      configuration.version = std::stoul(std::string(value));
+      return SiteRecord(configuration);
+    }
+    if (key.starts_with("zone/")) {
+      return SiteRecord(ZoneOut{key.substr(5)});
+    }
+    UpstreamEntry entry;
+    entry.id = key.substr(3);
+    entry.address = {static_cast<std::uint32_t>(std::stoul(std::string(value))),
+                     1};
+    return SiteRecord(entry);
+  }
+};
+
+struct Site {
+  ManualClock clock;
+  TestDecoder decoder;
+  SeededRandom random{1};
+  std::vector<SiteChange::Kind> changes;
+  SiteState state{decoder, [this](const SiteChange& change) {
+                    changes.push_back(change.kind);
+                  }};
+  StoreFollower follower{"", &state, &random};
+
+  static StoreItem Item(const std::string& key,
+                        const std::string& value,
+                        std::uint64_t revision) {
+    return {key, value, Revision{revision}};
+  }
+
+  static StoreItem Removed(const std::string& key, std::uint64_t revision) {
+    return {key, std::nullopt, Revision{revision}};
+  }
+
+  static StoreAnswer Answer(std::vector<StoreItem> items,
+                            std::uint64_t as_of,
+                            bool more = false) {
+    return {StoreAnswer::Outcome::kItems, std::move(items), Revision{as_of},
+            more, ""};
+  }
+
+  /// Answers the read that is due; fails if none is due within a second.
+  StoreFollower::Read Give(const StoreAnswer& answer) {
+    StoreFollower::Read read;
+    for (int i = 0; i < 50; ++i) {
+      read = follower.OnTick(clock.Now());
+      if (read.kind != StoreFollower::Read::Kind::kNone) {
+        break;
+      }
+      clock.Advance(milliseconds(50));
+    }
+    REQUIRE(read.kind != StoreFollower::Read::Kind::kNone);
+    follower.OnAnswer(read.number, answer, clock.Now());
+    return read;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a listing of several pages is watched from its first page") {
+  Site site;
+  site.Give(Site::Answer({Site::Item("config", "3", 5)}, 10, true));
+  const auto second = site.Give(Site::Answer({Site::Item("up/a", "1", 8)}, 14));
+  CHECK(second.after_key == "config");
+  CHECK(site.state.View()->upstreams.size() == 1);
+  const auto watch = site.follower.OnTick(site.clock.Now());
+  CHECK(watch.kind == StoreFollower::Read::Kind::kWatch);
+  CHECK(watch.after == Revision{10});
+}
+
+TEST_CASE("an older configuration is never taken") {
+  Site site;
+  site.Give(Site::Answer({Site::Item("config", "7", 5)}, 5));
+  site.Give(Site::Answer({Site::Item("config", "6", 6)}, 6));
+  CHECK(site.state.View()->configuration_version == 7);
+  CHECK(site.changes.back() == SiteChange::Kind::kConfigurationOlder);
+  site.Give(Site::Answer({Site::Item("config", "9", 7)}, 7));
+  CHECK(site.state.View()->configuration_version == 9);
+}
+
+TEST_CASE("a listing from before the present view changes nothing") {
+  Site site;
+  site.Give(Site::Answer({Site::Item("zone/a", "", 5)}, 9));
+  StoreAnswer gone;
+  gone.outcome = StoreAnswer::Outcome::kHistoryGone;
+  site.Give(gone);
+  site.Give(Site::Answer({}, 4));
+  CHECK(site.state.View()->zones_out.contains("a"));
+  site.Give(Site::Answer({}, 12));
+  CHECK(site.state.View()->zones_out.empty());
+}
+
+TEST_CASE("lost history leads to a new listing, with removals noticed") {
+  Site site;
+  site.Give(Site::Answer(
+      {Site::Item("up/a", "1", 1), Site::Item("up/b", "2", 2)}, 2));
+  StoreAnswer gone;
+  gone.outcome = StoreAnswer::Outcome::kHistoryGone;
+  site.Give(gone);
+  const auto read = site.Give(Site::Answer({Site::Item("up/b", "2", 2)}, 20));
+  CHECK(read.kind == StoreFollower::Read::Kind::kList);
+  site.clock.Advance(SiteState::kMissingGrace);
+  CHECK(site.state.Expire(site.clock.Now()));
+  CHECK(site.state.View()->upstreams.size() == 1);
+}
+
+TEST_CASE("an entry that lapsed may come back within the grace") {
+  Site site;
+  site.Give(Site::Answer({Site::Item("up/a", "1", 1)}, 1));
+  site.Give(Site::Answer({Site::Removed("up/a", 2)}, 2));
+  CHECK(site.state.View()->upstreams.at(1).missing_since);
+  site.clock.Advance(milliseconds(1500));
+  CHECK_FALSE(site.state.Expire(site.clock.Now()));
+  site.Give(Site::Answer({Site::Item("up/a", "1", 3)}, 3));
+  CHECK_FALSE(site.state.View()->upstreams.at(1).missing_since);
+  site.clock.Advance(SiteState::kMissingGrace);
+  CHECK_FALSE(site.state.Expire(site.clock.Now()));
+}
+
+TEST_CASE("of two entries with one address the later start counts") {
+  Site site;
+  site.Give(Site::Answer(
+      {Site::Item("up/old", "1", 1), Site::Item("up/new", "1", 2)}, 2));
+  CHECK(site.state.View()->upstreams.at(1).id == "new");
+}
+
+TEST_CASE("a store that is away keeps the view and is not pressed") {
+  Site site;
+  site.Give(Site::Answer({Site::Item("config", "3", 5)}, 5));
+  int reads = 0;
+  const TimePoint end = site.clock.Now() + std::chrono::seconds(10);
+  while (site.clock.Now() < end) {
+    const auto read = site.follower.OnTick(site.clock.Now());
+    if (read.kind != StoreFollower::Read::Kind::kNone) {
+      ++reads;
+      site.follower.OnAnswer(read.number, StoreAnswer(), site.clock.Now());
+    }
+    site.clock.Advance(milliseconds(50));
+  }
+  CHECK(site.state.View()->configuration_version == 3);
+  CHECK_FALSE(site.follower.reached());
+  // At least every 1.6 s, so that a change is in force 3 s after its return.
+  CHECK(reads >= 6);
+  CHECK(reads <= 20);
+}
+
+TEST_CASE("a late answer to an earlier read is not taken") {
+  Site site;
+  const auto read = site.follower.OnTick(site.clock.Now());
+  CHECK_FALSE(site.follower.OnAnswer(
+      read.number + 1, Site::Answer({Site::Item("config", "3", 5)}, 5),
+      site.clock.Now()));
+  CHECK(site.state.View()->configuration_version == 0);
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/tests/platform/siteformattest.cpp
@@ -0,0 +1,161 @@
+#include "platform/siteformat.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <random>
+#include <string>
+
+#include "libbase/fault.h"
+#include "platform/storehttpclient.h"
+
+namespace fireflytrestle {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string kEntry =
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"merkato",)"
+    R"("version":"v1","concurrency_limit":3,"state":"ready",)"
+    R"("cold_left_ms":1200,"seq":4,"born":1767225600000})";
+const std::string kConfiguration =
+    R"({"version":7,"routes":[{"name":"a","host":"198.18.0.1",)"
+    R"("prefix":"/8080/","kind":"unsafe","timeout_ms":1000,"slo_ms":150,)"
+    R"("priority":1,"service":"huvo11a"},{"name":"b","host":"198.18.0.1",)"
+    R"("prefix":"/8443/","kind":"safe","timeout_ms":800,"slo_ms":120,)"
+    R"("backends":[{"service":"huvo11a","weight":90},)"
+    R"({"service":"wuno96b","weight":10}]}],"services":[{"name":"huvo11a",)"
+    R"("max_conns":2000,"cold_s":2.0,"cold_per_s":12.5}],)"
+    R"("limits":{"idle_timeout_ms":15000}})";
+
+/// Returns the record, or monostate and the fault in \p problem.
+SiteRecord Decode(const std::string& key,
+                  const std::string& value,
+                  std::string* problem = nullptr) {
+  return boost::leaf::try_handle_all(
+      [&] { return SiteFormat().Decode(key, value); },
+      [&](const Fault& fault) {
+        if (problem != nullptr) {
+          *problem = fault.source + ": " + fault.problem;
+        }
+        return SiteRecord();
+      },
+      [] { return SiteRecord(); });
+}
+
+}  // namespace
+
+TEST_CASE("an upstream's entry is read") {
+  const SiteRecord record = Decode("servers/i-1", kEntry);
+  const auto* entry = std::get_if<UpstreamEntry>(&record);
+  REQUIRE(entry != nullptr);
+  CHECK(entry->id == "i-1");
+  CHECK(entry->service == "huvo11a");
+  CHECK(entry->zone == "merkato");
+  CHECK(ToString(entry->address) == "10.128.0.9:8080");
+  CHECK(entry->slots == 3);
+  CHECK_FALSE(entry->draining);
+  CHECK(entry->cold_left == milliseconds(1200));
+  CHECK(entry->started_unix_ms == 1767225600000);
+}
+
+TEST_CASE("a configuration is read") {
+  const SiteRecord record = Decode("op/config", kConfiguration);
+  const auto* configuration = std::get_if<SiteConfiguration>(&record);
+  REQUIRE(configuration != nullptr);
+  CHECK(configuration->version == 7);
+  REQUIRE(configuration->routes.size() == 2);
+  const RouteSettings& order = configuration->routes[0];
+  CHECK(ToString(order.address) == "198.18.0.1:8080");
+  CHECK_FALSE(order.idempotent);
+  CHECK_FALSE(order.long_lived);
+  CHECK(order.timeout == milliseconds(1000));
+  CHECK(order.latency_objective == milliseconds(150));
+  CHECK(order.services == std::vector<WeightedService>{{"huvo11a", 1}});
+  CHECK(configuration->routes[1].idempotent);
+  CHECK(configuration->routes[1].services.size() == 2);
+  CHECK(configuration->services.at("huvo11a").cold_rate == 12.5);
+  CHECK(configuration->flow_idle_timeout == milliseconds(15000));
+}
+
+TEST_CASE("a zone taken out is read from its key alone") {
+  CHECK(Decode("op/evacuate/bole", "anything") == SiteRecord(ZoneOut{"bole"}));
+}
+
+TEST_CASE("an entry of another writer names no upstream and says why") {
+  std::string problem;
+  const auto refused = [&](const std::string& value) {
+    problem.clear();
+    return std::holds_alternative<std::monostate>(
+               Decode("servers/x", value, &problem)) &&
+           problem.starts_with("servers/x: ");
+  };
+  CHECK(refused("\xff\xfe"));
+  CHECK(refused("[]"));
+  CHECK(refused("{}"));
+  for (const char* name : {"service", "zone", "address", "state",
+                           "concurrency_limit", "cold_left_ms"}) {
+    std::string changed = kEntry;
+    changed.replace(changed.find(name), 1, "#");
+    CAPTURE(name);
+    CHECK(refused(changed));
+  }
+  std::string state = kEntry;
+  state.replace(state.find("ready"), 5, "happy");
+  CHECK(refused(state));
+  std::string address = kEntry;
+  address.replace(address.find("10.128.0.9:8080"), 15, "somewhere_else!");
+  CHECK(refused(address));
+}
+
+TEST_CASE("a store's answer is read") {
+  const StoreAnswer list = StoreHttpClient::ReadBody(
+      R"({"items":[{"key":"a","value":"bm9kZS0x","revision":4}],)"
+      R"("has_more":true,"as_of":530})",
+      false);
+  REQUIRE(list.outcome == StoreAnswer::Outcome::kItems);
+  CHECK(list.items[0].value == "node-1");
+  CHECK(list.more);
+  CHECK(list.as_of == Revision{530});
+  const StoreAnswer events = StoreHttpClient::ReadBody(
+      R"({"events":[{"key":"a","revision":9,"removed":true}],"as_of":9})",
+      true);
+  REQUIRE(events.outcome == StoreAnswer::Outcome::kItems);
+  CHECK_FALSE(events.items[0].value);
+  CHECK(StoreHttpClient::ReadBody("{\"items\":[", false).outcome ==
+        StoreAnswer::Outcome::kFailed);
+}
+
+TEST_CASE("one item that cannot be read does not hide the others") {
+  const StoreAnswer answer = StoreHttpClient::ReadBody(
+      R"({"items":[{"key":1},7,{"key":"a","value":"bm9kZS0x","revision":4}],)"
+      R"("as_of":5})",
+      false);
+  REQUIRE(answer.outcome == StoreAnswer::Outcome::kItems);
+  CHECK(answer.items.size() == 1);
+  CHECK_FALSE(answer.problem.empty());
+}
+
+TEST_CASE("300,000 mutated items are read or refused") {
+  std::mt19937_64 random(20261204);
+  for (int i = 0; i < 300'000; ++i) {
+    std::string value = i % 2 == 0 ? kEntry : kConfiguration;
+    for (std::uint64_t change = random() % 4; change > 0; --change) {
+      const std::size_t at = random() % value.size();
+      switch (random() % 3) {
+        case 0:
+          value[at] = static_cast<char>(random());
+          break;
+        case 1:
+          value.erase(at, random() % 8);
+          break;
+        default:
+          value.insert(at, 1, "{}[]\",:0-"[random() % 9]);
+      }
+    }
+    Decode(i % 2 == 0 ? "servers/i-1" : "op/config", value);
+  }
+}
+
+}  // namespace fireflytrestle
