Take a balancer that is cut off out of the routers' rotation

Change: ready only while at least half of the agents that are not known to be silent report. The new test failed first.

--- a/src/flowbalancer/flowbalancerprocess.cpp
+++ b/src/flowbalancer/flowbalancerprocess.cpp
@@ -85,7 +85,7 @@
   } else if (!m_reader.has_configuration()) {
     *reason = "no configuration";
   } else if (!m_gauges.serving) {
-    *reason = "no agent has reported";
+    *reason = "fewer than half of the agents report";
   }
   return reason->empty();
 }
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -77,9 +77,7 @@
 }
 
 bool FlowRouter::IsServing() const {
-  return m_view->configuration_version != 0 &&
-         std::any_of(m_agents.all().begin(), m_agents.all().end(),
-                     [](const auto& item) { return !!item.second->heard(); });
+  return m_informed && m_judge.HasQuorum();
 }
 
 void FlowRouter::OnCallerPacket(std::span<const std::uint8_t> datagram,
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -60,7 +60,9 @@
 
   const AgentTable& agents() const { return m_agents; }
   std::size_t flow_count() const { return m_flows.size(); }
-  /// Whether new flows can be placed.
+  /// Whether callers' packets are in good hands here: a balancer that hears
+  /// fewer than half of the agents is likely cut off, and the routers had
+  /// better take another one.
   bool IsServing() const;
 
  private:
--- a/src/libflow/silencejudge.h
+++ b/src/libflow/silencejudge.h
@@ -25,6 +25,10 @@
   /// announced their stop are left out for kStopGrace.
   std::vector<AgentPeerPtr> OnTick(const AgentTable& agents, TimePoint now);
 
+  /// Whether at least half of the agents that are not known to be silent
+  /// report.
+  bool HasQuorum() const { return m_quorum; }
+
   /// Whether the silence of others may be acted on.
   bool IsTrusted(TimePoint now) const;
 
--- a/tests/libflow/losstest.cpp
+++ b/tests/libflow/losstest.cpp
@@ -70,6 +70,32 @@
   CHECK(site.resets.empty());
 }
 
+TEST_CASE("a balancer that is cut off asks the routers to pass it by") {
+  FlowSite site(2, 4);
+  CHECK(site.balancers[0]->router->IsServing());
+  site.lost = [&](const SocketAddress& from, const SocketAddress& to) {
+    return from == site.balancers[0]->address ||
+           to == site.balancers[0]->address;
+  };
+  site.Run(kNoticeLimit);
+  CHECK_FALSE(site.balancers[0]->router->IsServing());
+  CHECK(site.balancers[1]->router->IsServing());
+  site.lost = nullptr;
+  site.Run(kNoticeLimit);
+  CHECK(site.balancers[0]->router->IsServing());
+}
+
+TEST_CASE("the loss of some agents keeps a balancer in service") {
+  FlowSite site(1, 4);
+  site.agents[0]->running = false;
+  site.Run(kNoticeLimit);
+  CHECK(site.balancers[0]->router->IsServing());
+  // The rest is lost one by one.
+  site.agents[1]->running = false;
+  site.Run(kNoticeLimit);
+  CHECK(site.balancers[0]->router->IsServing());
+}
+
 TEST_CASE("an announced restart of an agent breaks no flow") {
   FlowSite site(2, 3);
   const FlowTuple tuple = FlowSite::Tuple(1);
