--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -31,7 +31,7 @@
 constexpr std::uint64_t kMax16 = std::numeric_limits<std::uint16_t>::max();
 constexpr std::uint64_t kMax32 = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t kMax64 = std::numeric_limits<std::uint64_t>::max();
-constexpr std::uint64_t kMaxMs = 24 * 3600 * 1000;
+constexpr std::uint64_t kMaxMs = 24ULL * 3600 * 1000;
 
 void WriteHead(MsgpackWriter* writer, Kind kind, std::uint32_t fields) {
   writer->WriteArray(fields);
--- a/src/libnet/flownodesettings.cpp
+++ b/src/libnet/flownodesettings.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr std::uint64_t kMaxLifetimeSeconds = 24 * 3600;
+constexpr std::uint64_t kMaxLifetimeSeconds = 24ULL * 3600;
 
 }  // namespace
 
--- /dev/null
+++ b/tests/programs/wholeflowtest.cpp
@@ -0,0 +1,377 @@
+#include <doctest/doctest.h>
+
+#include <QProcess>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QtEndian>
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "libnet/eventloop.h"
+#include "libnet/udpsocket.h"
+#include "platform/packetlayout.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+constexpr char kBalancerProgram[] =
+    PROGRAMS_FOLDER "/fireflytrestle-flowbalancer";
+constexpr char kAgentProgram[] = PROGRAMS_FOLDER "/fireflytrestle-flowagent";
+constexpr int kExitTimeoutMs = 8000;
+
+// Each instance has an address of its own; ports are the same everywhere.
+constexpr char kStoreAddress[] = "127.0.10.9";
+constexpr char kEntryAddress[] = "127.0.10.1";
+constexpr char kSideAddress[] = "127.0.10.2";
+constexpr char kCallerAddress[] = "127.0.10.3";
+constexpr std::uint16_t kPacketPort = 21870;
+constexpr std::uint16_t kNodePort = 21871;
+constexpr std::uint16_t kAdminPort = 21872;
+constexpr std::uint16_t kUpstreamPort = 21873;
+constexpr std::uint16_t kOutboundPort = 21874;
+constexpr SocketAddress kRoute{0xC6120001, 443};
+
+QString At(const char* address, std::uint16_t port) {
+  return QString("%1:%2").arg(address).arg(port);
+}
+
+SocketAddress Address(const char* address, std::uint16_t port) {
+  return *ParseSocketAddress(At(address, port).toStdString());
+}
+
+/// \brief The platform's store: lists its items, and answers a watch once
+/// something has changed.
+class FakeStore {
+ public:
+  FakeStore() {
+    REQUIRE(m_server.listen(QHostAddress(kStoreAddress)));
+    QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this] {
+      QTcpSocket* socket = m_server.nextPendingConnection();
+      QObject::connect(socket, &QTcpSocket::readyRead, socket,
+                       [this, socket] { OnRequest(socket); });
+      QObject::connect(socket, &QTcpSocket::disconnected, socket,
+                       &QObject::deleteLater);
+    });
+  }
+
+  void Put(const std::string& key, const std::string& value) {
+    m_items[key] = {value, ++m_revision};
+    AnswerWatches();
+  }
+
+  QString address() const { return At(kStoreAddress, m_server.serverPort()); }
+
+ private:
+  struct Item {
+    std::string value;
+    std::uint64_t revision;
+  };
+
+  void OnRequest(QTcpSocket* socket) {
+    const QByteArray line = socket->readAll().split('\r').front();
+    if (line.startsWith("GET /kv-range")) {
+      Answer(socket, "items", 0);
+      return;
+    }
+    const auto after = line.indexOf("after=") + 6;
+    m_watches[socket] =
+        line.mid(after, line.indexOf('&', after) - after).toULongLong();
+    AnswerWatches();
+  }
+
+  void AnswerWatches() {
+    for (auto watch = m_watches.begin(); watch != m_watches.end();) {
+      if (watch->second >= m_revision) {
+        ++watch;
+        continue;
+      }
+      const auto [socket, after] = *watch;
+      watch = m_watches.erase(watch);
+      Answer(socket, "events", after);
+    }
+  }
+
+  void Answer(QTcpSocket* socket, const char* name, std::uint64_t after) {
+    QByteArray list;
+    for (const auto& [key, item] : m_items) {
+      if (item.revision > after) {
+        list += list.isEmpty() ? "" : ",";
+        list +=
+            "{\"key\":\"" + QByteArray::fromStdString(key) + "\",\"value\":\"" +
+            QByteArray::fromStdString(item.value).toBase64() +
+            "\",\"revision\":" + QByteArray::number(quint64{item.revision}) +
+            "}";
+      }
+    }
+    const QByteArray body =
+        "{\"" + QByteArray(name) + "\":[" + list +
+        "],\"as_of\":" + QByteArray::number(quint64{m_revision}) + "}";
+    socket->write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                  QByteArray::number(body.size()) + "\r\n\r\n" + body);
+  }
+
+  QTcpServer m_server;
+  std::uint64_t m_revision = 0;
+  std::map<std::string, Item> m_items;
+  std::map<QTcpSocket*, std::uint64_t> m_watches;
+};
+
+std::vector<std::uint8_t> Encode(const FlowPacket& packet) {
+  std::vector<std::uint8_t> bytes(PacketLayout::kHeaderBytes +
+                                  packet.data_bytes);
+  const auto put = [&](auto value, std::size_t offset) {
+    qToLittleEndian(value, bytes.data() + offset);
+  };
+  put(packet.sequence, 0);
+  put(packet.acknowledgment, 4);
+  put(packet.destination.port, 8);
+  put(packet.destination.ipv4, 10);
+  put(packet.source.port, 14);
+  put(packet.source.ipv4, 16);
+  bytes[24] = static_cast<std::uint8_t>(
+      (packet.syn ? 4 : 0) + (packet.ack ? 32 : 0) + (packet.bounced ? 8 : 0));
+  put(packet.data_bytes, 26);
+  return bytes;
+}
+
+/// \brief A bound socket that sends and collects packets.
+class Endpoint {
+ public:
+  Endpoint(const char* address, std::uint16_t port) {
+    auto bound = UdpSocket::Bind(Address(address, port));
+    REQUIRE(bound);
+    m_socket = std::move(bound.value());
+  }
+
+  void Send(const SocketAddress& to, const FlowPacket& packet) {
+    const std::vector<std::uint8_t> bytes = Encode(packet);
+    std::copy(bytes.begin(), bytes.end(), m_socket->NextBuffer().begin());
+    m_socket->Queue(to, bytes.size());
+    m_socket->Flush();
+  }
+
+  std::vector<FlowPacket> Receive() {
+    std::vector<FlowPacket> packets;
+    m_socket->Receive(
+        [&](const SocketAddress&, std::span<const std::uint8_t> datagram) {
+          if (const auto packet = PacketLayout().Decode(datagram)) {
+            packets.push_back(*packet);
+          }
+        });
+    return packets;
+  }
+
+ private:
+  std::unique_ptr<UdpSocket> m_socket;
+};
+
+/// \brief One entry instance, one upstream with its agent, a store and a
+/// caller, all on loopback.
+class LoopbackSite {
+ public:
+  LoopbackSite() {
+    NeedEventLoop();
+    store.Put("op/config",
+              R"({"version":3,"routes":[{"name":"r","host":"198.18.0.1",)"
+              R"("prefix":"/443/","kind":"safe","timeout_ms":800,)"
+              R"("slo_ms":120,"service":"counter"}],"services":)"
+              R"([{"name":"counter","max_conns":9,"cold_s":2.0,)"
+              R"("cold_per_s":0.0}],"limits":{"idle_timeout_ms":15000}})");
+    PutUpstream("ready");
+    StartAgent();
+    balancer.setStandardOutputFile(QProcess::nullDevice());
+    balancer.start(kBalancerProgram,
+                   {"--instance=entry-1", "--zone=a",
+                    "--admin-address=" + At(kEntryAddress, kAdminPort),
+                    "--node-address=" + At(kEntryAddress, kNodePort),
+                    "--frontend-address=" + At(kEntryAddress, kPacketPort),
+                    "--platform-address=" + store.address()});
+    REQUIRE(balancer.waitForStarted());
+    REQUIRE(RunUntil([&] { return IsReady(); }));
+  }
+
+  ~LoopbackSite() {
+    for (QProcess* process : {&balancer, agent.get()}) {
+      process->kill();
+      process->waitForFinished();
+    }
+  }
+
+  void PutUpstream(const std::string& state) {
+    store.Put("servers/i-1",
+              R"({"service":"counter","address":")" +
+                  At(kSideAddress, kUpstreamPort).toStdString() +
+                  R"(","zone":"a","version":"v1","concurrency_limit":3,)"
+                  R"("state":")" +
+                  state + R"(","cold_left_ms":0,"seq":1})");
+  }
+
+  void StartAgent() {
+    agent = std::make_unique<QProcess>();
+    agent->setStandardOutputFile(QProcess::nullDevice());
+    agent->start(kAgentProgram,
+                 {"--instance=side-1", "--zone=a", "--service=counter",
+                  "--admin-address=" + At(kSideAddress, kAdminPort),
+                  "--node-address=" + At(kSideAddress, kPacketPort),
+                  "--outbound-address=" + At(kSideAddress, kOutboundPort),
+                  "--upstream-address=" + At(kSideAddress, kUpstreamPort),
+                  "--seed-balancers=" + At(kEntryAddress, kNodePort),
+                  "--balancer-port=" + QString::number(kNodePort)});
+    REQUIRE(agent->waitForStarted());
+  }
+
+  static bool IsReady() {
+    QTcpSocket socket;
+    socket.connectToHost(kEntryAddress, kAdminPort);
+    if (!socket.waitForConnected(100)) {
+      return false;
+    }
+    socket.write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    return socket.waitForReadyRead(1000) && socket.readAll().contains(" 200 ");
+  }
+
+  /// Answers what reached the upstream: SYNs, requests, and packets of flows
+  /// that it does not hold.
+  void RunUpstream() {
+    for (const FlowPacket& packet : upstream.Receive()) {
+      FlowPacket answer;
+      answer.source = packet.destination;
+      answer.destination = packet.source;
+      answer.ack = true;
+      answer.acknowledgment = packet.sequence + 1;
+      if (packet.syn) {
+        answer.syn = true;
+        answer.sequence = 500;
+        holds_flow = true;
+      } else if (!holds_flow) {
+        answer = packet;
+        answer.bounced = true;
+      } else if (packet.data_bytes > 0) {
+        answer.sequence = 501;
+        answer.data_bytes = 20;
+        ++requests;
+      } else {
+        continue;
+      }
+      upstream.Send(Address(kSideAddress, kOutboundPort), answer);
+    }
+  }
+
+  /// Sends \p packet every 200 ms, as callers do, until \p wanted is true of a
+  /// packet that came back.
+  bool Exchange(FlowPacket packet,
+                const std::function<bool(const FlowPacket&)>& wanted) {
+    packet.source = {Address(kCallerAddress, 1).ipv4, 40000};
+    packet.destination = kRoute;
+    auto next = std::chrono::steady_clock::now();
+    bool found = false;
+    return RunUntil([&] {
+      const auto now = std::chrono::steady_clock::now();
+      if (now >= next) {
+        next = now + std::chrono::milliseconds(200);
+        caller.Send(Address(kEntryAddress, kPacketPort), packet);
+      }
+      RunUpstream();
+      for (const FlowPacket& each : caller.Receive()) {
+        found |= wanted(each);
+      }
+      return found;
+    });
+  }
+
+  bool Open() {
+    FlowPacket syn;
+    syn.syn = true;
+    syn.sequence = 100;
+    return Exchange(syn, [](const FlowPacket& packet) { return packet.syn; });
+  }
+
+  bool Request(std::uint32_t number) {
+    return Exchange(RequestPacket(number), [](const FlowPacket& packet) {
+      return packet.data_bytes == 20;
+    });
+  }
+
+  static FlowPacket RequestPacket(std::uint32_t number) {
+    FlowPacket packet;
+    packet.ack = true;
+    packet.sequence = 101 + 10 * number;
+    packet.acknowledgment = 501;
+    packet.data_bytes = 10;
+    return packet;
+  }
+
+  FakeStore store;
+  QProcess balancer;
+  std::unique_ptr<QProcess> agent;
+  Endpoint upstream{kSideAddress, kUpstreamPort};
+  Endpoint caller{kCallerAddress, kPacketPort};
+  bool holds_flow = false;
+  int requests = 0;
+};
+
+bool IsReset(const FlowPacket& packet) {
+  return packet.reset && packet.source == kRoute;
+}
+
+}  // namespace
+
+TEST_CASE("A flow is served through the real programs and outlives an agent") {
+  LoopbackSite site;
+  REQUIRE(site.Open());
+  REQUIRE(site.Request(1));
+  site.agent->kill();
+  site.agent->waitForFinished();
+  site.StartAgent();
+  CHECK(site.Request(2));
+  site.holds_flow = false;
+  CHECK(site.Exchange(LoopbackSite::RequestPacket(3), IsReset));
+}
+
+TEST_CASE("A draining upstream gets no new flow through the real programs") {
+  LoopbackSite site;
+  REQUIRE(site.Open());
+  site.PutUpstream("draining");
+  FlowPacket syn;
+  syn.syn = true;
+  std::uint32_t sequence = 1000;
+  CHECK(RunUntil([&] {
+    // Each one is a new flow to the balancer, since its number differs.
+    syn.sequence = ++sequence;
+    return site.Exchange(syn, [](const FlowPacket&) { return true; }) &&
+           site.Exchange(syn, IsReset);
+  }));
+  site.PutUpstream("ready");
+  CHECK(site.Open());
+}
+
+TEST_CASE("Both programs stop with code 0 and take a reload without ending") {
+  LoopbackSite site;
+  for (QProcess* process : {site.agent.get(), &site.balancer}) {
+    kill(static_cast<pid_t>(process->processId()), SIGHUP);
+    CHECK_FALSE(process->waitForFinished(200));
+    process->terminate();
+    REQUIRE(process->waitForFinished(kExitTimeoutMs));
+    CHECK(process->exitStatus() == QProcess::NormalExit);
+    CHECK(process->exitCode() == 0);
+  }
+}
+
+TEST_CASE("Missing settings of the flow programs are all named at once") {
+  for (const char* program : {kBalancerProgram, kAgentProgram}) {
+    QProcess process;
+    process.setProcessChannelMode(QProcess::MergedChannels);
+    process.start(program, {"--zone="});
+    REQUIRE(process.waitForFinished(kExitTimeoutMs));
+    CHECK(process.exitCode() == 2);
+    CHECK(process.readAll().trimmed().split('\n').size() >= 6);
+  }
+}
+
+}  // namespace fireflytrestle
