--- /dev/null
+++ b/src/libbase/latencyhistogram.h
@@ -0,0 +1,40 @@
+#ifndef FIREFLYTRESTLE_LIBBASE_LATENCYHISTOGRAM_H_
+#define FIREFLYTRESTLE_LIBBASE_LATENCYHISTOGRAM_H_
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+namespace fireflytrestle {
+
+/// \brief Counts times in fixed buckets.
+class LatencyHistogram {
+ public:
+  /// Upper bounds in milliseconds; a last bucket takes what is longer.
+  static constexpr std::array<std::uint32_t, 11> kBoundsMs = {
+      1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000};
+
+  void Record(std::chrono::steady_clock::duration time) {
+    const auto bucket = std::find_if(
+        kBoundsMs.begin(), kBoundsMs.end(), [&](std::uint32_t bound) {
+          return time <= std::chrono::milliseconds(bound);
+        });
+    ++m_counts[static_cast<std::size_t>(bucket - kBoundsMs.begin())];
+    m_sum += time;
+  }
+
+  /// Counts of each bucket, the last one without an upper bound.
+  const std::array<std::uint64_t, kBoundsMs.size() + 1>& counts() const {
+    return m_counts;
+  }
+  std::chrono::duration<double> sum() const { return m_sum; }
+
+ private:
+  std::array<std::uint64_t, kBoundsMs.size() + 1> m_counts{};
+  std::chrono::steady_clock::duration m_sum{0};
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBBASE_LATENCYHISTOGRAM_H_
--- a/src/libflow/flowkeeper.cpp
+++ b/src/libflow/flowkeeper.cpp
@@ -119,6 +119,7 @@
     }
     UpstreamFlow& flow = m_flows[tuple];
     flow.syn_sequence = packet.sequence;
+    flow.opened = now;
     flow.data_sequence = packet.sequence;
     flow.flow_class = message.flow_class;
     Report(Kind::kPlaced, tuple, source, "to_upstream");
@@ -156,6 +157,7 @@
       SendUnknown(source, tuple, "opened_elsewhere");
       return;
     }
+    m_output->Measure(FlowMeasurement::kOpening, now - flow.opened);
     Confirm(tuple, &flow);
   } else if (flow.state == State::kOpen && flow.balancer != source) {
     // The flow has moved to another balancer; one that asks hears at once.
@@ -256,6 +258,7 @@
     decision.waited =
         std::chrono::duration_cast<milliseconds>(now - request->arrived);
     m_output->Report(decision);
+    m_output->Measure(FlowMeasurement::kWait, now - request->arrived);
     StartRequest(&position->second, now);
     position->second.data_sequence = request->end_sequence;
     for (const auto& packet : request->packets) {
@@ -311,6 +314,7 @@
   }
   if (packet->data_bytes > 0 && flow.running) {
     m_gate.OnAnswer(now - flow.delivered);
+    m_output->Measure(FlowMeasurement::kAnswer, now - flow.delivered);
     EndRequest(&flow);
   }
   if (packet->fin || packet->reset) {
--- /dev/null
+++ b/src/libflow/flowmeasurement.h
@@ -0,0 +1,25 @@
+#ifndef FIREFLYTRESTLE_LIBFLOW_FLOWMEASUREMENT_H_
+#define FIREFLYTRESTLE_LIBFLOW_FLOWMEASUREMENT_H_
+
+#include <cstddef>
+#include <cstdint>
+
+namespace fireflytrestle {
+
+/// \brief Times that agents measure.
+enum class FlowMeasurement : std::uint8_t {
+  /// From a flow's SYN to the caller's next packet.
+  kOpening,
+  /// From the delivery of a request to the first data of its answer.
+  kAnswer,
+  /// From the arrival of a request to its delivery, for those that waited.
+  kWait,
+  kCount,
+};
+
+inline constexpr std::size_t kFlowMeasurements =
+    static_cast<std::size_t>(FlowMeasurement::kCount);
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBFLOW_FLOWMEASUREMENT_H_
--- a/src/libflow/flowoutput.h
+++ b/src/libflow/flowoutput.h
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <span>
 
+#include "libbase/clock.h"
 #include "libflow/flowdecision.h"
+#include "libflow/flowmeasurement.h"
 #include "libflow/nodemessage.h"
 
 namespace fireflytrestle {
@@ -30,6 +32,8 @@
   virtual void SendReset(const FlowTuple& tuple, std::uint32_t sequence) = 0;
 
   virtual void Report(const FlowDecision& decision) = 0;
+
+  virtual void Measure(FlowMeasurement measurement, Duration time) = 0;
 };
 
 }  // namespace fireflytrestle
--- a/src/libflow/heldflows.h
+++ b/src/libflow/heldflows.h
@@ -38,6 +38,7 @@
   std::uint32_t acknowledgment = 0;
   /// Balancer that sent the last packet.
   SocketAddress balancer;
+  TimePoint opened{};
   TimePoint last_packet{};
 };
 
--- a/src/libnet/flowreport.cpp
+++ b/src/libnet/flowreport.cpp
@@ -49,8 +49,24 @@
        {LogKey::kVersion, decision.configuration_version}});
 }
 
+void FlowReport::Measure(FlowMeasurement measurement, Duration time) {
+  const std::scoped_lock lock(m_mutex);
+  m_times[static_cast<std::size_t>(measurement)].Record(time);
+}
+
 void FlowReport::WriteMetrics(MetricsWriter* metrics) const {
   const std::scoped_lock lock(m_mutex);
+  const auto write = [&](FlowMeasurement measurement, const char* name,
+                         const char* help) {
+    const auto& times = m_times[static_cast<std::size_t>(measurement)];
+    metrics->Histogram(name, help, times);
+  };
+  write(FlowMeasurement::kOpening, "flow_opening_seconds",
+        "Time from a flow's SYN to the caller's next packet");
+  write(FlowMeasurement::kAnswer, "request_answer_seconds",
+        "Time from the delivery of a request to the first data of its answer");
+  write(FlowMeasurement::kWait, "request_wait_seconds",
+        "Time that requests waited for a slot of the upstream");
   for (const auto& [key, count] : m_counts) {
     metrics->Counter(
         "flow_decisions_total", "Decisions on flows by kind and reason",
--- a/src/libnet/flowreport.h
+++ b/src/libnet/flowreport.h
@@ -1,13 +1,17 @@
 #ifndef FIREFLYTRESTLE_LIBNET_FLOWREPORT_H_
 #define FIREFLYTRESTLE_LIBNET_FLOWREPORT_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
 #include <utility>
 
+#include "libbase/clock.h"
+#include "libbase/latencyhistogram.h"
 #include "libflow/flowdecision.h"
+#include "libflow/flowmeasurement.h"
 
 namespace fireflytrestle {
 
@@ -22,6 +26,7 @@
   explicit FlowReport(Logger* logger) : m_logger(logger) {}
 
   void Record(const FlowDecision& decision);
+  void Measure(FlowMeasurement measurement, Duration time);
 
   void WriteMetrics(MetricsWriter* metrics) const;
 
@@ -29,6 +34,7 @@
   Logger* m_logger;
   mutable std::mutex m_mutex;
   std::map<std::pair<FlowDecision::Kind, std::string>, std::uint64_t> m_counts;
+  std::array<LatencyHistogram, kFlowMeasurements> m_times;
 };
 
 }  // namespace fireflytrestle
--- a/src/libnet/flowsockets.cpp
+++ b/src/libnet/flowsockets.cpp
@@ -55,6 +55,10 @@
   m_report->Record(decision);
 }
 
+void FlowSockets::Measure(FlowMeasurement measurement, Duration time) {
+  m_report->Measure(measurement, time);
+}
+
 void FlowSockets::Flush() {
   for (UdpSocket* socket : {m_node, m_upstream}) {
     if (socket != nullptr && socket->queued() > 0) {
--- a/src/libnet/flowsockets.h
+++ b/src/libnet/flowsockets.h
@@ -37,6 +37,7 @@
                     std::span<const std::uint8_t> packet) override;
   void SendReset(const FlowTuple& tuple, std::uint32_t sequence) override;
   void Report(const FlowDecision& decision) override;
+  void Measure(FlowMeasurement measurement, Duration time) override;
 
   /// Sends all that is queued.
   void Flush();
--- a/src/libnet/metricswriter.cpp
+++ b/src/libnet/metricswriter.cpp
@@ -2,11 +2,16 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <limits>
+
+#include "libbase/latencyhistogram.h"
+
 namespace fireflytrestle {
 
 namespace {
 
 constexpr char kPrefix[] = "fireflytrestle_";
+constexpr double kMsPerSecond = 1000.0;
 
 }  // namespace
 
@@ -41,6 +46,23 @@
   Add(prometheus::MetricType::Gauge, name, help, labels)->gauge.value = value;
 }
 
+void MetricsWriter::Histogram(const std::string& name,
+                              const std::string& help,
+                              const LatencyHistogram& times) {
+  auto& histogram =
+      Add(prometheus::MetricType::Histogram, name, help, {})->histogram;
+  std::uint64_t total = 0;
+  for (std::size_t i = 0; i < times.counts().size(); ++i) {
+    total += times.counts()[i];
+    const bool bounded = i < LatencyHistogram::kBoundsMs.size();
+    histogram.bucket.push_back(
+        {total, bounded ? LatencyHistogram::kBoundsMs[i] / kMsPerSecond
+                        : std::numeric_limits<double>::infinity()});
+  }
+  histogram.sample_count = total;
+  histogram.sample_sum = times.sum().count();
+}
+
 std::string MetricsWriter::Write() const {
   return prometheus::TextSerializer().Serialize(m_families);
 }
--- a/src/libnet/metricswriter.h
+++ b/src/libnet/metricswriter.h
@@ -10,6 +10,8 @@
 
 namespace fireflytrestle {
 
+class LatencyHistogram;
+
 /// \brief Collects metric values and writes them in the Prometheus text format.
 class MetricsWriter {
  public:
@@ -24,6 +26,11 @@
              double value,
              const Labels& labels = {});
 
+  /// Writes the times in seconds.
+  void Histogram(const std::string& name,
+                 const std::string& help,
+                 const LatencyHistogram& times);
+
   std::string Write() const;
 
  private:
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -53,6 +53,9 @@
       m_site->resets.push_back(tuple);
       m_site->reset_sequences.push_back(sequence);
     }
+    void Measure(FlowMeasurement /*measurement*/, Duration /*time*/) override {
+      ++m_site->measurements;
+    }
     void Report(const FlowDecision& decision) override {
       m_site->decisions.push_back(std::string(ToString(decision.kind)) + " " +
                                   decision.reason);
@@ -331,6 +334,7 @@
   std::vector<FlowTuple> resets;
   std::vector<std::uint32_t> reset_sequences;
   std::vector<std::string> decisions;
+  std::size_t measurements = 0;
   /// Whether a datagram between two processes is lost; null for none.
   std::function<bool(const SocketAddress& from, const SocketAddress& to)> lost;
 
