End searches for an owner that nobody is left to answer

A balancer asked every agent of the service, also those that had fallen silent, had never reported or had no entry any more, so the search never ended and callers waited for their timeout, 30 of them as late as 39 to 43 s. And for the first second after its start a balancer takes no flow for lost, since an upstream that left the store may hold it.

Ruled out: upstreams that are full (their agents answer flow_unknown), resets lost on the way (none was sent).

Change: a search ends when those that are left have fallen silent, or were never heard of and have no entry. Within the first second flows are taken for lost once eight of them have no owner and no agent holds a flow from before the start; agents report the age of their oldest flow for that (in place of a count that nobody read).

Without each part the tests in lostflowstest.cpp fail (three of five; the other two guard the flows that live on).

--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -50,11 +50,10 @@
 
 void AgentPeer::OnStatus(const AgentStatus& status, TimePoint now) {
   m_heard = now;
-  m_incarnation = status.incarnation;
   m_phase = status.phase;
   m_running = status.running;
-  m_flows = status.flows;
   m_long_flows = status.long_flows;
+  m_oldest_flow = now - status.oldest_flow;
   m_placed_short = 0;
   m_placed_long = 0;
   if (!m_listed) {
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -38,6 +38,14 @@
   /// it.
   bool IsPreferred(TimePoint now) const;
 
+  /// The upstream holds a flow that opened before \p time.
+  bool HoldsFlowFrom(TimePoint time) const {
+    return m_heard && m_oldest_flow < time;
+  }
+
+  /// Neither registered any more nor heard of: the upstream has ended.
+  bool IsGone() const { return m_missing && !m_heard; }
+
   /// Expected wait for a new flow in units of one request's work; lower is
   /// better.
   double Load(bool long_lived, TimePoint now) const;
@@ -79,11 +87,11 @@
 
   // From the agent.
   std::optional<TimePoint> m_heard;
-  Incarnation m_incarnation{};
   AgentPhase m_phase = AgentPhase::kServing;
   std::uint32_t m_running = 0;
-  std::uint32_t m_flows = 0;
   std::uint32_t m_long_flows = 0;
+  /// When the oldest of its flows opened, by the last report.
+  TimePoint m_oldest_flow{};
   bool m_silent = false;
   TimePoint m_held_off_until{};
   /// Flows placed here since the last report.
--- a/src/libflow/flowkeeper.cpp
+++ b/src/libflow/flowkeeper.cpp
@@ -474,6 +474,13 @@
   });
 }
 
+milliseconds FlowKeeper::AgeOf(const UpstreamFlow& flow, TimePoint now) const {
+  const bool opened_here = flow.opened != TimePoint{};
+  return opened_here
+             ? std::chrono::duration_cast<milliseconds>(now - flow.opened)
+             : m_settings.flow_lifetime;
+}
+
 AgentStatus FlowKeeper::MakeStatus(TimePoint now) const {
   AgentStatus status;
   status.incarnation = m_settings.incarnation;
@@ -490,7 +497,9 @@
   for (const auto& [tuple, flow] : m_flows) {
     const bool counts =
         flow.state == State::kOpening || flow.state == State::kOpen;
-    status.flows += counts ? 1 : 0;
+    if (flow.state == State::kOpen) {
+      status.oldest_flow = std::max(status.oldest_flow, AgeOf(flow, now));
+    }
     status.long_flows += counts && flow.flow_class.long_lived ? 1 : 0;
     // A flow for one request is about to bring it.
     const bool brings_request = flow.state == State::kOpening &&
--- a/src/libflow/flowkeeper.h
+++ b/src/libflow/flowkeeper.h
@@ -128,6 +128,9 @@
               const SocketAddress& peer,
               const char* reason) const;
   void SetPhase(AgentPhase phase, TimePoint now);
+  /// The greatest age for a flow whose opening the agent has not seen.
+  std::chrono::milliseconds AgeOf(const UpstreamFlow& flow,
+                                  TimePoint now) const;
   AgentStatus MakeStatus(TimePoint now) const;
   void SendStatus(TimePoint now);
   void SendAllFlows(const SocketAddress& balancer, TimePoint now);
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -35,6 +35,10 @@
 /// Agents answer the first heartbeat at once; those that have not done so by
 /// then are down.
 constexpr milliseconds kReportPatience{150};
+/// Ownerless flows after which upstreams that hold no old flow are taken to
+/// have lost all flows together: one upstream's share of the flows may be
+/// missed by chance, but not of so many.
+constexpr std::size_t kTellingFlows = 8;
 /// Agents that one SYN may go to.
 constexpr std::uint8_t kMaxPlacements = 4;
 /// Further placements: 30% of the new flows, and a steady minimum.
@@ -123,16 +127,12 @@
     Reset(tuple, packet.acknowledgment, "no_route", nullptr, now);
     return;
   }
-  entry = m_flows.Add(tuple);
+  entry = AddEntry(packet, tuple, route->second, now);
   if (entry == nullptr) {
     Reset(tuple, packet.acknowledgment, "too_many_flows", nullptr, now);
     return;
   }
-  entry->flow_class = ClassOf(route->second);
-  entry->carried = true;
   entry->syn_sequence = packet.sequence;
-  entry->acknowledgment = packet.acknowledgment;
-  entry->last_packet = now;
   m_retry_budget.OnFirstAttempt();
   Place(tuple, entry, datagram, now);
 }
@@ -194,8 +194,10 @@
     }
   }
   if (entry->state == State::kSearching) {
-    for (const AgentPeerPtr& agent : entry->asked) {
-      Deliver(*entry, agent, true, datagram);
+    if (!EndFruitlessSearch(tuple, *entry, now)) {
+      for (const AgentPeerPtr& agent : entry->asked) {
+        Deliver(*entry, agent, true, datagram);
+      }
     }
     return;
   }
@@ -220,17 +222,13 @@
     }
     return;
   }
-  FlowEntry* entry = m_flows.Add(tuple);
+  FlowEntry* entry = AddEntry(packet, tuple, route->second, now);
   if (entry == nullptr) {
     Report(Kind::kDropped, tuple, nullptr, "too_many_flows", now);
     return;
   }
   entry->state = State::kSearching;
-  entry->flow_class = ClassOf(route->second);
-  entry->carried = true;
-  entry->acknowledgment = packet.acknowledgment;
   entry->placed = now;
-  entry->last_packet = now;
   for (const WeightedService& each : route->second.services) {
     const auto& agents = m_agents.OfService(each.service);
     entry->asked.insert(entry->asked.end(), agents.begin(), agents.end());
@@ -241,6 +239,45 @@
   }
 }
 
+FlowEntry* FlowRouter::AddEntry(const FlowPacket& packet,
+                                const FlowTuple& tuple,
+                                const RouteSettings& route,
+                                TimePoint now) {
+  FlowEntry* entry = m_flows.Add(tuple);
+  if (entry != nullptr) {
+    entry->flow_class = ClassOf(route);
+    entry->carried = true;
+    entry->acknowledgment = packet.acknowledgment;
+    entry->last_packet = now;
+  }
+  return entry;
+}
+
+bool FlowRouter::EndFruitlessSearch(const FlowTuple& tuple,
+                                    const FlowEntry& entry,
+                                    TimePoint now) {
+  const bool trusted = m_judge.IsTrusted(now);
+  const bool all_lost = std::all_of(
+      entry.asked.begin(), entry.asked.end(), [&](const AgentPeerPtr& agent) {
+        return agent->IsGone() || (trusted && agent->silent());
+      });
+  // An order may be running at a silent agent's upstream; a reset gains its
+  // caller nothing.
+  if (!all_lost || (!entry.asked.empty() && !entry.flow_class.idempotent)) {
+    return false;
+  }
+  if (m_ownerless.size() < kTellingFlows) {
+    m_ownerless.insert(tuple);
+  }
+  if (KnowsAllUpstreams(now)) {
+    Reset(tuple, entry.acknowledgment, "no_owner", nullptr, now);
+  } else {
+    Report(Kind::kDropped, tuple, nullptr, "no_owner_known", now);
+  }
+  m_flows.Erase(tuple);
+  return true;
+}
+
 void FlowRouter::Deliver(const FlowEntry& entry,
                          const AgentPeerPtr& agent,
                          bool search,
@@ -329,13 +366,8 @@
   }
   Report(Kind::kUnknownThere, tuple, agent.get(), "", now);
   if (entry->state == State::kSearching) {
-    if (Remove(&entry->asked, agent) && entry->asked.empty()) {
-      if (KnowsAllUpstreams(now)) {
-        Reset(tuple, entry->acknowledgment, "no_owner", agent.get(), now);
-      } else {
-        Report(Kind::kDropped, tuple, agent.get(), "no_owner_known", now);
-      }
-      m_flows.Erase(tuple);
+    if (Remove(&entry->asked, agent)) {
+      EndFruitlessSearch(tuple, *entry, now);
     }
     return;
   }
@@ -355,7 +387,17 @@
     cold += agent->IsCold(now) ? 1 : 0;
   }
   return now - m_first_view >= kIntroductionTime ||
-         2 * cold > m_agents.all().size();
+         2 * cold > m_agents.all().size() || AreAllFlowsLost();
+}
+
+bool FlowRouter::AreAllFlowsLost() const {
+  // Flows that opened since the processes came back say nothing.
+  const TimePoint before = m_first_view - kIntroductionTime;
+  return m_ownerless.size() >= kTellingFlows &&
+         std::none_of(m_agents.all().begin(), m_agents.all().end(),
+                      [&](const auto& item) {
+                        return item.second->HoldsFlowFrom(before);
+                      });
 }
 
 void FlowRouter::On(const SocketAddress& source,
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <unordered_set>
 
 #include "libbase/retrybudget.h"
 #include "libflow/agenttable.h"
@@ -19,6 +20,7 @@
 class FlowOutput;
 class PacketCodec;
 struct FlowPacket;
+struct RouteSettings;
 
 /// \brief Decisions of a balancer on flows whose packets carry no identity.
 ///
@@ -82,6 +84,16 @@
               const FlowTuple& tuple,
               std::span<const std::uint8_t> datagram,
               TimePoint now);
+  /// Returns a new entry for a flow of \p route, null if there is no room.
+  FlowEntry* AddEntry(const FlowPacket& packet,
+                      const FlowTuple& tuple,
+                      const RouteSettings& route,
+                      TimePoint now);
+  /// Ends a search that nobody is left to answer. Returns whether it did, and
+  /// with it forgot the flow.
+  bool EndFruitlessSearch(const FlowTuple& tuple,
+                          const FlowEntry& entry,
+                          TimePoint now);
   void Deliver(const FlowEntry& entry,
                const AgentPeerPtr& agent,
                bool search,
@@ -108,6 +120,8 @@
           TimePoint now);
   /// Whether a flow that no known agent holds may be taken for lost.
   bool KnowsAllUpstreams(TimePoint now) const;
+  /// Whether all upstreams seem to have lost their flows at once.
+  bool AreAllFlowsLost() const;
   void AbandonFlowsOf(const AgentPeerPtr& agent, TimePoint now);
   void SendHeartbeats(TimePoint now);
   /// Whether packets can be decided on: the view and the first reports of the
@@ -129,6 +143,8 @@
   SilenceJudge m_judge;
   WaitingRoom m_waiting_room;
   bool m_informed = false;
+  /// Flows without an owner, up to a telling number.
+  std::unordered_set<FlowTuple, FlowTupleHash> m_ownerless;
   RetryBudget m_retry_budget;
   TimePoint m_next_heartbeat;
   TimePoint m_next_sweep;
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -106,9 +106,11 @@
   AgentPhase phase = AgentPhase::kServing;
   /// Requests that the upstream has and has not begun to answer.
   std::uint32_t running = 0;
-  /// Open flows, and those of them that callers keep for many requests.
-  std::uint32_t flows = 0;
+  /// Open flows that callers keep for many requests.
   std::uint32_t long_flows = 0;
+  /// Age of the oldest open flow; of one that opened before the agent started,
+  /// the greatest age of a flow.
+  std::chrono::milliseconds oldest_flow{0};
   std::vector<HeldFlow> opened;
   /// Balancers that appeared a moment ago.
   std::vector<SocketAddress> new_balancers;
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -145,8 +145,8 @@
   WriteName(writer, message.zone);
   writer->WriteUint(static_cast<std::uint64_t>(message.phase));
   writer->WriteUint(message.running);
-  writer->WriteUint(message.flows);
   writer->WriteUint(message.long_flows);
+  WriteTime(writer, message.oldest_flow);
   writer->WriteArray(static_cast<std::uint32_t>(message.opened.size()));
   for (const HeldFlow& flow : message.opened) {
     Write(writer, flow);
@@ -207,8 +207,8 @@
   reader->Read(&message.phase, 1,
                static_cast<std::uint64_t>(AgentPhase::kCount) - 1);
   reader->Read(&message.running, 0, kMax32);
-  reader->Read(&message.flows, 0, kMax32);
   reader->Read(&message.long_flows, 0, kMax32);
+  message.oldest_flow = ReadTime(reader);
   const std::uint32_t count = reader->ReadArray();
   if (count > kMaxFlowsPerStatus) {
     reader->Fail(WireError::kOutOfRange);
--- /dev/null
+++ b/tests/libflow/lostflowstest.cpp
@@ -0,0 +1,130 @@
+#include <doctest/doctest.h>
+
+#include "flowsite.h"
+
+namespace fireflytrestle {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::uint32_t kCallers = 20;
+/// Callers repeat an unanswered packet after this long.
+constexpr milliseconds kCopyAfter{200};
+
+void OpenFeeds(FlowSite* site) {
+  for (std::uint32_t caller = 1; caller <= kCallers; ++caller) {
+    site->Open(caller % 2, FlowSite::Tuple(caller));
+  }
+  site->Run(milliseconds(300));
+}
+
+/// All callers use their flows, and repeat what nobody answers.
+void UseFeeds(FlowSite* site, std::uint32_t request) {
+  for (int copy = 0; copy < 2; ++copy) {
+    for (std::uint32_t caller = 1; caller <= kCallers; ++caller) {
+      const FlowTuple tuple = FlowSite::Tuple(caller);
+      if (site->ResetsOf(tuple) == 0 && site->AnswersTo(tuple) < request) {
+        site->SendRequest(caller % 2, tuple, request);
+      }
+    }
+    site->Run(kCopyAfter);
+  }
+}
+
+/// Sends a packet of a flow that no upstream holds.
+FlowTuple SendStray(FlowSite* site) {
+  const FlowTuple tuple = FlowSite::Tuple(900);
+  FlowPacket packet = FlowSite::Packet(tuple);
+  packet.ack = true;
+  packet.data_bytes = 10;
+  site->FromCaller(0, packet);
+  return tuple;
+}
+
+}  // namespace
+
+TEST_CASE("pattern: all instances lose power and callers go on as before") {
+  // The store still lists the upstreams as they were before they restarted.
+  FlowSite site(2, 4);
+  OpenFeeds(&site);
+  for (std::size_t i = 0; i < site.agents.size(); ++i) {
+    site.agents[i]->upstream->Restart();
+    site.StartAgent(i);
+  }
+  site.StartBalancer(0);
+  site.StartBalancer(1);
+  site.clock.Advance(milliseconds(1400));
+  site.Publish();
+  site.Run(milliseconds(50));
+  UseFeeds(&site, 2);
+  for (std::uint32_t caller = 1; caller <= kCallers; ++caller) {
+    CHECK(site.ResetsOf(FlowSite::Tuple(caller)) == 1);
+  }
+}
+
+TEST_CASE("pattern: all processes are killed and the flows live on") {
+  FlowSite site(2, 4);
+  OpenFeeds(&site);
+  for (std::size_t i = 0; i < site.agents.size(); ++i) {
+    site.StartAgent(i);
+  }
+  site.StartBalancer(0);
+  site.StartBalancer(1);
+  site.clock.Advance(milliseconds(1400));
+  site.Publish();
+  site.Run(milliseconds(50));
+  UseFeeds(&site, 2);
+  CHECK(site.resets.empty());
+  for (std::uint32_t caller = 1; caller <= kCallers; ++caller) {
+    CHECK(site.AnswersTo(FlowSite::Tuple(caller)) == 2);
+  }
+}
+
+TEST_CASE("flows that one upstream lost do not tell of the others") {
+  FlowSite site(2, 4);
+  OpenFeeds(&site);
+  const FlowTuple kept = FlowSite::Tuple(1);
+  FlowSite::Agent* unlisted = site.OwnerOf(kept);
+  REQUIRE(unlisted != nullptr);
+  unlisted->listed = false;
+  // Three upstreams crash while a balancer restarts, and one of them has opened
+  // flows before the others crash.
+  std::size_t crashed = 0;
+  for (const auto& agent : site.agents) {
+    if (agent.get() != unlisted && crashed < 2) {
+      agent->upstream->Restart();
+      ++crashed;
+    }
+  }
+  site.StartBalancer(1);
+  site.Publish();
+  UseFeeds(&site, 2);
+  CHECK(site.ResetsOf(kept) == 0);
+  CHECK(site.AnswersTo(kept) == 2);
+}
+
+TEST_CASE("a search does not wait for an upstream that has ended") {
+  FlowSite site(1, 4);
+  site.agents[2]->running = false;
+  site.StartBalancer(0);
+  site.Publish();
+  site.Run(milliseconds(2000));
+  SUBCASE("its entry has lapsed") {
+    site.agents[2]->entry.missing_since = site.clock.Now();
+    site.Publish();
+    CHECK(site.ResetsOf(SendStray(&site)) == 1);
+  }
+  SUBCASE("it is registered, so its agent may come back") {
+    CHECK(site.ResetsOf(SendStray(&site)) == 0);
+  }
+}
+
+TEST_CASE("a search does not wait for an agent that fell silent before") {
+  FlowSite site(1, 4);
+  site.agents[2]->running = false;
+  site.Run(milliseconds(1000));
+  CHECK(site.ResetsOf(SendStray(&site)) == 1);
+}
+
+}  // namespace fireflytrestle
--- a/tests/libflow/nodemessagecodectest.cpp
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -22,7 +22,7 @@
   status.service = "a-service-with-quite-a-long-name";
   status.zone = "a-zone";
   status.running = 0xFFFFFFFF;
-  status.flows = 0xFFFFFFFF;
+  status.oldest_flow = milliseconds(60000);
   status.long_flows = 0xFFFFFFFF;
   for (std::size_t i = 0; i < flows; ++i) {
     status.opened.push_back(
