Give an upstream that breaks its requests off trial flows only

Ruled out: a stale view (their entries stay ready), a lost agent (it reports every 100 ms), upstreams that hand SYNs back (they answer them).

Balancers pass such an agent by for 0.5 s.

--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -14,8 +14,8 @@
 /// An upstream that handed a SYN back gets no further ones for this long: the
 /// time of a few requests, after which a slot is free again.
 constexpr milliseconds kHoldOff{100};
-/// One that said it takes no new flows at all: until the next reports and the
-/// view agree.
+/// One that said it takes no new flows at all, or breaks them off: until the
+/// next reports and the view agree.
 constexpr milliseconds kLongHoldOff{500};
 /// Work of a request on a cold upstream compared with a warm one, as the users
 /// describe their upstreams.
--- a/src/libflow/flowdecision.cpp
+++ b/src/libflow/flowdecision.cpp
@@ -32,6 +32,8 @@
       return "request_released";
     case FlowDecision::Kind::kUnanswered:
       return "request_unanswered";
+    case FlowDecision::Kind::kUpstreamFailing:
+      return "upstream_failing";
     case FlowDecision::Kind::kCount:
       break;
   }
--- a/src/libflow/flowdecision.h
+++ b/src/libflow/flowdecision.h
@@ -40,6 +40,8 @@
     kReleased,
     /// An upstream has not begun to answer a request for long.
     kUnanswered,
+    /// An upstream breaks off so many requests that it gets trial flows only.
+    kUpstreamFailing,
     kCount,
   };
 
--- a/src/libflow/flowkeeper.cpp
+++ b/src/libflow/flowkeeper.cpp
@@ -110,6 +110,10 @@
       Return(source, ReturnReason::kUpstreamFull, tuple, message.packet);
       return;
     }
+    if (!m_health.TryAdmit(now)) {
+      Return(source, ReturnReason::kUpstreamFailing, tuple, message.packet);
+      return;
+    }
     if (!m_cold.TryAdmit(now)) {
       Return(source, ReturnReason::kUpstreamCold, tuple, message.packet);
       return;
@@ -314,9 +318,13 @@
   }
   if (packet->data_bytes > 0 && flow.running) {
     m_gate.OnAnswer(now - flow.delivered);
+    m_health.OnAnswer();
     m_output->Measure(FlowMeasurement::kAnswer, now - flow.delivered);
     EndRequest(&flow);
   }
+  if (packet->reset) {
+    OnUpstreamReset(tuple, flow, now);
+  }
   if (packet->fin || packet->reset) {
     flow.state = State::kClosing;
     EndRequest(&flow);
@@ -325,6 +333,19 @@
   ReleaseRequests(now);
 }
 
+void FlowKeeper::OnUpstreamReset(const FlowTuple& tuple,
+                                 const UpstreamFlow& flow,
+                                 TimePoint now) {
+  if (!flow.running && flow.state != State::kOpening) {
+    return;
+  }
+  const bool was_failing = m_health.IsFailing();
+  m_health.OnFailure(now);
+  if (!was_failing && m_health.IsFailing()) {
+    Report(Kind::kUpstreamFailing, tuple, flow.balancer, "requests_reset");
+  }
+}
+
 void FlowKeeper::OnHandedBack(const FlowPacket& packet,
                               std::span<std::uint8_t> datagram,
                               TimePoint /*now*/) {
@@ -419,6 +440,7 @@
   }
   m_flows.clear();
   m_gate = {};
+  m_health = {};
   m_running = 0;
 }
 
--- a/src/libflow/flowkeeper.h
+++ b/src/libflow/flowkeeper.h
@@ -12,6 +12,7 @@
 #include "libflow/heldflows.h"
 #include "libflow/nodemessage.h"
 #include "libflow/requestgate.h"
+#include "libflow/upstreamhealth.h"
 
 namespace fireflytrestle {
 
@@ -102,6 +103,10 @@
   void ReportSoon(TimePoint now);
   void StartRequest(UpstreamFlow* flow, TimePoint now);
   void EndRequest(UpstreamFlow* flow);
+  /// The upstream broke the flow off.
+  void OnUpstreamReset(const FlowTuple& tuple,
+                       const UpstreamFlow& flow,
+                       TimePoint now);
   void Forget(HeldFlows::iterator position);
   /// Delivers requests that waited for a slot.
   void ReleaseRequests(TimePoint now);
@@ -149,6 +154,7 @@
   bool m_draining = false;
   ColdAdmission m_cold;
   RequestGate m_gate;
+  UpstreamHealth m_health;
   /// Flows with \ref UpstreamFlow::running.
   std::uint32_t m_running = 0;
   TimePoint m_next_status;
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -39,6 +39,8 @@
   /// The allowance of a cold upstream is used up.
   kUpstreamCold,
   kZoneOut,
+  /// The upstream breaks its requests off.
+  kUpstreamFailing,
   /// The agent is about to stop.
   kAgentStopping,
   kCount,
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -255,6 +255,8 @@
       return "upstream_cold";
     case ReturnReason::kZoneOut:
       return "zone_out";
+    case ReturnReason::kUpstreamFailing:
+      return "upstream_failing";
     case ReturnReason::kAgentStopping:
       return "agent_stopping";
     case ReturnReason::kCount:
--- a/tests/libflow/fakeupstream.h
+++ b/tests/libflow/fakeupstream.h
@@ -57,6 +57,12 @@
       }
       return {HandBack(packet)};
     }
+    if (packet.data_bytes > 0 && breaks_requests) {
+      flows.erase(tuple);
+      FlowPacket reset = Answer(packet, false, 0);
+      reset.reset = true;
+      return {reset};
+    }
     if (packet.data_bytes > 0) {
       m_queue.push_back({packet, now});
       most_waiting = std::max(most_waiting, m_queue.size());
@@ -100,6 +106,8 @@
   bool refuses = false;
   /// Resets packets of flows that it does not hold, as one that ends does.
   bool resets_unknown = false;
+  /// Resets each flow at its request.
+  bool breaks_requests = false;
   std::set<FlowTuple, TupleLess> flows;
   std::vector<TimePoint> opened;
   std::vector<FlowPacket> started;
--- a/tests/libflow/placementtest.cpp
+++ b/tests/libflow/placementtest.cpp
@@ -69,6 +69,30 @@
   CHECK(MostOpened(site) <= 30);
 }
 
+TEST_CASE("pattern: an upstream that breaks off every request draws no flows") {
+  // It always has free slots, so that it looks the least loaded.
+  FlowSite site(3, 5);
+  constexpr std::uint32_t kOrders = 200;
+  FakeUpstream& broken = *site.agents[0]->upstream;
+  broken.breaks_requests = true;
+  for (std::uint32_t order = 0; order < kOrders; ++order) {
+    site.Open(order % 3, FlowSite::Tuple(order + 1, FlowSite::kOrderRoute));
+    site.Run(milliseconds(10));
+  }
+  // Three that show the failure, then trials at intervals that grow.
+  CHECK(broken.opened.size() <= 8);
+  SUBCASE("it gets its part again once it answers") {
+    broken.breaks_requests = false;
+    site.Run(milliseconds(2000));
+    const std::size_t before = broken.answered;
+    for (std::uint32_t order = 0; order < kOrders; ++order) {
+      site.Open(order % 3, FlowSite::Tuple(900 + order, FlowSite::kOrderRoute));
+      site.Run(milliseconds(20));
+    }
+    CHECK(broken.answered - before >= kOrders / 10);
+  }
+}
+
 TEST_CASE("packets that come before the first view are not lost") {
   FlowSite site(1, 2);
   site.StartBalancer(0);
--- a/tests/programs/wholeflowtest.cpp
+++ b/tests/programs/wholeflowtest.cpp
@@ -1,17 +1,16 @@
 #include <doctest/doctest.h>
 
 #include <QProcess>
-#include <QTcpServer>
 #include <QTcpSocket>
-#include <QtEndian>
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <csignal>
 #include <map>
 #include <memory>
 #include <vector>
 
+#include "fakes/fakestore.h"
+#include "fakes/packetencoder.h"
 #include "libnet/eventloop.h"
 #include "libnet/udpsocket.h"
 #include "platform/packetlayout.h"
@@ -45,102 +44,6 @@
   return *ParseSocketAddress(At(address, port).toStdString());
 }
 
-/// \brief The platform's store: lists its items, and answers a watch once
-/// something has changed.
-class FakeStore {
- public:
-  FakeStore() {
-    NeedEventLoop();
-    REQUIRE(m_server.listen(QHostAddress(kStoreAddress)));
-    QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this] {
-      QTcpSocket* socket = m_server.nextPendingConnection();
-      QObject::connect(socket, &QTcpSocket::readyRead, socket,
-                       [this, socket] { OnRequest(socket); });
-      QObject::connect(socket, &QTcpSocket::disconnected, socket,
-                       &QObject::deleteLater);
-    });
-  }
-
-  void Put(const std::string& key, const std::string& value) {
-    m_items[key] = {value, ++m_revision};
-    AnswerWatches();
-  }
-
-  QString address() const { return At(kStoreAddress, m_server.serverPort()); }
-
- private:
-  struct Item {
-    std::string value;
-    std::uint64_t revision;
-  };
-
-  void OnRequest(QTcpSocket* socket) {
-    const QByteArray line = socket->readAll().split('\r').front();
-    if (line.startsWith("GET /kv-range")) {
-      Answer(socket, "items", 0);
-      return;
-    }
-    const auto after = line.indexOf("after=") + 6;
-    m_watches[socket] =
-        line.mid(after, line.indexOf('&', after) - after).toULongLong();
-    AnswerWatches();
-  }
-
-  void AnswerWatches() {
-    for (auto watch = m_watches.begin(); watch != m_watches.end();) {
-      if (watch->second >= m_revision) {
-        ++watch;
-        continue;
-      }
-      const auto [socket, after] = *watch;
-      watch = m_watches.erase(watch);
-      Answer(socket, "events", after);
-    }
-  }
-
-  void Answer(QTcpSocket* socket, const char* name, std::uint64_t after) {
-    QByteArray list;
-    for (const auto& [key, item] : m_items) {
-      if (item.revision > after) {
-        list += list.isEmpty() ? "" : ",";
-        list +=
-            "{\"key\":\"" + QByteArray::fromStdString(key) + "\",\"value\":\"" +
-            QByteArray::fromStdString(item.value).toBase64() +
-            "\",\"revision\":" + QByteArray::number(quint64{item.revision}) +
-            "}";
-      }
-    }
-    const QByteArray body =
-        "{\"" + QByteArray(name) + "\":[" + list +
-        "],\"as_of\":" + QByteArray::number(quint64{m_revision}) + "}";
-    socket->write("HTTP/1.1 200 OK\r\nContent-Length: " +
-                  QByteArray::number(body.size()) + "\r\n\r\n" + body);
-  }
-
-  QTcpServer m_server;
-  std::uint64_t m_revision = 0;
-  std::map<std::string, Item> m_items;
-  std::map<QTcpSocket*, std::uint64_t> m_watches;
-};
-
-std::vector<std::uint8_t> Encode(const FlowPacket& packet) {
-  std::vector<std::uint8_t> bytes(PacketLayout::kHeaderBytes +
-                                  packet.data_bytes);
-  const auto put = [&](auto value, std::size_t offset) {
-    qToLittleEndian(value, bytes.data() + offset);
-  };
-  put(packet.sequence, 0);
-  put(packet.acknowledgment, 4);
-  put(packet.destination.port, 8);
-  put(packet.destination.ipv4, 10);
-  put(packet.source.port, 14);
-  put(packet.source.ipv4, 16);
-  bytes[24] = static_cast<std::uint8_t>(
-      (packet.syn ? 4 : 0) + (packet.ack ? 32 : 0) + (packet.bounced ? 8 : 0));
-  put(packet.data_bytes, 26);
-  return bytes;
-}
-
 /// \brief A bound socket that sends and collects packets.
 class Endpoint {
  public:
@@ -151,7 +54,7 @@
   }
 
   void Send(const SocketAddress& to, const FlowPacket& packet) {
-    const std::vector<std::uint8_t> bytes = Encode(packet);
+    const std::vector<std::uint8_t> bytes = EncodePacket(packet);
     std::copy(bytes.begin(), bytes.end(), m_socket->NextBuffer().begin());
     m_socket->Queue(to, bytes.size());
     m_socket->Flush();
@@ -172,6 +75,11 @@
   std::unique_ptr<UdpSocket> m_socket;
 };
 
+/// \brief Makes sure of an event loop before the members that need one.
+struct EventLoop {
+  EventLoop() { NeedEventLoop(); }
+};
+
 /// \brief One entry instance, one upstream with its agent, a store and a
 /// caller, all on loopback.
 class LoopbackSite {
@@ -191,7 +99,7 @@
                     "--admin-address=" + At(kEntryAddress, kAdminPort),
                     "--node-address=" + At(kEntryAddress, kNodePort),
                     "--frontend-address=" + At(kEntryAddress, kPacketPort),
-                    "--platform-address=" + store.address()});
+                    "--platform-address=" + At(kStoreAddress, store.port())});
     REQUIRE(balancer.waitForStarted());
     REQUIRE(RunUntil([&] { return IsReady(); }));
   }
@@ -307,7 +215,8 @@
     return packet;
   }
 
-  FakeStore store;
+  EventLoop event_loop;
+  FakeStore store{QHostAddress(kStoreAddress)};
   QProcess balancer;
   std::unique_ptr<QProcess> agent;
   Endpoint upstream{kSideAddress, kUpstreamPort};
