--- a/src/flowagent/flowagentprocess.cpp
+++ b/src/flowagent/flowagentprocess.cpp
@@ -35,7 +35,8 @@
 }
 
 boost::leaf::result<void> FlowAgentProcess::Start() {
-  BOOST_LEAF_AUTO(node, UdpSocket::Bind(m_settings.node.node_address));
+  BOOST_LEAF_AUTO(node, UdpSocket::Bind(m_settings.node.node_address,
+                                        SendBufferBytes(m_settings.node)));
   BOOST_LEAF_AUTO(outbound, UdpSocket::Bind(m_settings.outbound_address));
   FlowKeeper::Settings keeper;
   keeper.incarnation = Incarnation{DrawSeed()};
--- a/src/flowbalancer/flowbalancerprocess.cpp
+++ b/src/flowbalancer/flowbalancerprocess.cpp
@@ -22,6 +22,8 @@
 /// The platform kills the process 6 s after the signal.
 constexpr milliseconds kMostDrain{5000};
 constexpr milliseconds kDrainCheck{50};
+/// Searches may take a half of the link; packets of known flows need the rest.
+constexpr std::uint64_t kSearchPartOfLink = 2;
 
 }  // namespace
 
@@ -55,13 +57,18 @@
 }
 
 boost::leaf::result<void> FlowBalancerProcess::Start() {
-  BOOST_LEAF_AUTO(frontend, UdpSocket::Bind(m_settings.frontend_address));
-  BOOST_LEAF_AUTO(node, UdpSocket::Bind(m_settings.node.node_address));
+  const int send_buffer = SendBufferBytes(m_settings.node);
+  BOOST_LEAF_AUTO(frontend,
+                  UdpSocket::Bind(m_settings.frontend_address, send_buffer));
+  BOOST_LEAF_AUTO(node,
+                  UdpSocket::Bind(m_settings.node.node_address, send_buffer));
   FlowRouter::Settings router;
   router.incarnation = Incarnation{DrawSeed()};
   router.zone = m_settings.node.zone;
   router.agent_port = m_settings.frontend_address.port;
   router.flow_lifetime = m_settings.node.flow_lifetime;
+  router.search_bytes_per_second =
+      m_settings.node.link_bytes_per_second / kSearchPartOfLink;
   m_thread.Run([&] {
     m_worker = std::make_unique<FlowBalancerWorker>(
         std::move(router), std::move(frontend), std::move(node),
--- a/src/libbase/setting.cpp
+++ b/src/libbase/setting.cpp
@@ -123,6 +123,33 @@
           std::move(default_value), std::move(apply)};
 }
 
+Setting DecimalSetting(std::string name,
+                       std::string description,
+                       std::optional<std::string> default_value,
+                       double least,
+                       double most,
+                       std::function<void(double)> store) {
+  auto apply = [store = std::move(store), least,
+                most](const std::string& value) {
+    std::optional<SettingProblem> problem;
+    double number = 0.0;
+    const char* end = value.data() + value.size();
+    const auto [stop, error] = std::from_chars(value.data(), end, number);
+    if (error != std::errc() || stop != end || !(number >= least) ||
+        !(number <= most)) {
+      problem = SettingProblem{
+          "\"" + value + "\" is not a decimal number in the permitted range",
+          "give a number from " + std::to_string(least) + " to " +
+              std::to_string(most)};
+    } else {
+      store(number);
+    }
+    return problem;
+  };
+  return {std::move(name), "DECIMAL", std::move(description),
+          std::move(default_value), std::move(apply)};
+}
+
 Setting MillisecondsSetting(std::string name,
                             std::string description,
                             std::optional<std::string> default_value,
--- a/src/libbase/setting.h
+++ b/src/libbase/setting.h
@@ -62,6 +62,14 @@
                       std::uint64_t most,
                       std::function<void(std::uint64_t)> store);
 
+/// Accepts a decimal number such as 5.2 from \p least to \p most.
+Setting DecimalSetting(std::string name,
+                       std::string description,
+                       std::optional<std::string> default_value,
+                       double least,
+                       double most,
+                       std::function<void(double)> store);
+
 /// Accepts a whole number of milliseconds from 0 to \p most.
 Setting MillisecondsSetting(std::string name,
                             std::string description,
--- a/src/libbase/tokenbucket.cpp
+++ b/src/libbase/tokenbucket.cpp
@@ -4,15 +4,15 @@
 
 namespace fireflytrestle {
 
-bool TokenBucket::TryTake(TimePoint now) {
+bool TokenBucket::TryTake(TimePoint now, double tokens) {
   if (now > m_updated) {
     Add(m_rate * std::chrono::duration<double>(now - m_updated).count());
     m_updated = now;
   }
-  if (m_tokens < 1.0) {
+  if (m_tokens < tokens) {
     return false;
   }
-  m_tokens -= 1.0;
+  m_tokens -= tokens;
   return true;
 }
 
--- a/src/libbase/tokenbucket.h
+++ b/src/libbase/tokenbucket.h
@@ -5,8 +5,8 @@
 
 namespace fireflytrestle {
 
-/// \brief Limits a rate: tokens come in steadily up to a burst, and each event
-/// takes one.
+/// \brief Limits a rate: tokens come in steadily up to a burst, and events
+/// take them.
 class TokenBucket {
  public:
   /// Starts full. \p tokens_per_second and \p burst are at least 0.
@@ -16,8 +16,8 @@
         m_tokens(burst),
         m_updated(now) {}
 
-  /// Takes one token if there is one.
-  bool TryTake(TimePoint now);
+  /// Takes \p tokens if there are so many.
+  bool TryTake(TimePoint now, double tokens = 1.0);
 
   /// Adds \p tokens, up to the burst.
   void Add(double tokens);
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -39,6 +39,13 @@
 /// have lost all flows together: one upstream's share of the flows may be
 /// missed by chance, but not of so many.
 constexpr std::size_t kTellingFlows = 8;
+/// Callers repeat their requests for a few seconds after an outage.
+constexpr milliseconds kRecoveryTime{5000};
+/// Searches of this many seconds may come at once.
+constexpr double kSearchBurst = 0.25;
+/// What a packet for an agent is longer than the caller's: the message around
+/// it and the headers of UDP and IP.
+constexpr std::size_t kDeliverOverheadBytes = 100;
 /// Agents that one SYN may go to.
 constexpr std::uint8_t kMaxPlacements = 4;
 /// Further placements: 30% of the new flows, and a steady minimum.
@@ -66,6 +73,10 @@
       m_view(std::make_shared<SiteView>()),
       m_agents(m_settings.agent_port),
       m_retry_budget(kRetryShare, kRetriesPerSecond, now),
+      m_search_bytes(static_cast<double>(m_settings.search_bytes_per_second),
+                     static_cast<double>(m_settings.search_bytes_per_second) *
+                         kSearchBurst,
+                     now),
       m_next_heartbeat(now),
       m_next_sweep(now + kSweepInterval) {}
 
@@ -195,9 +206,7 @@
   }
   if (entry->state == State::kSearching) {
     if (!EndFruitlessSearch(tuple, *entry, now)) {
-      for (const AgentPeerPtr& agent : entry->asked) {
-        Deliver(*entry, agent, true, datagram);
-      }
+      Ask(*entry, datagram, now);
     }
     return;
   }
@@ -234,9 +243,30 @@
     entry->asked.insert(entry->asked.end(), agents.begin(), agents.end());
   }
   Report(Kind::kSearched, tuple, nullptr, "owner_unknown", now);
-  for (const AgentPeerPtr& agent : entry->asked) {
-    Deliver(*entry, agent, true, datagram);
+  if (Ask(*entry, datagram, now)) {
+    return;
+  }
+  // A flow that opened a moment ago may be reset here, and all others that
+  // reach this line have no owner.
+  if (AreAllFlowsLost(now)) {
+    Reset(tuple, packet.acknowledgment, "all_flows_lost", nullptr, now);
+  }
+  m_flows.Erase(tuple);
+}
+
+bool FlowRouter::Ask(const FlowEntry& entry,
+                     std::span<const std::uint8_t> datagram,
+                     TimePoint now) {
+  const std::size_t bytes =
+      entry.asked.size() * (datagram.size() + kDeliverOverheadBytes);
+  if (!m_search_bytes.TryTake(now, static_cast<double>(bytes))) {
+    Report(Kind::kDropped, {}, nullptr, "search_budget", now);
+    return false;
   }
+  for (const AgentPeerPtr& agent : entry.asked) {
+    Deliver(entry, agent, true, datagram);
+  }
+  return true;
 }
 
 FlowEntry* FlowRouter::AddEntry(const FlowPacket& packet,
@@ -387,13 +417,14 @@
     cold += agent->IsCold(now) ? 1 : 0;
   }
   return now - m_first_view >= kIntroductionTime ||
-         2 * cold > m_agents.all().size() || AreAllFlowsLost();
+         2 * cold > m_agents.all().size() || AreAllFlowsLost(now);
 }
 
-bool FlowRouter::AreAllFlowsLost() const {
+bool FlowRouter::AreAllFlowsLost(TimePoint now) const {
   // Flows that opened since the processes came back say nothing.
   const TimePoint before = m_first_view - kIntroductionTime;
   return m_ownerless.size() >= kTellingFlows &&
+         now - m_first_view < kRecoveryTime &&
          std::none_of(m_agents.all().begin(), m_agents.all().end(),
                       [&](const auto& item) {
                         return item.second->HoldsFlowFrom(before);
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 
 #include "libbase/retrybudget.h"
+#include "libbase/tokenbucket.h"
 #include "libflow/agenttable.h"
 #include "libflow/flowdecision.h"
 #include "libflow/flowdirectory.h"
@@ -37,6 +38,9 @@
     std::uint16_t agent_port = 0;
     /// A flow may be forgotten at this age.
     std::chrono::milliseconds flow_lifetime{60000};
+    /// Bytes that searches for owners may send; each one sends a packet to
+    /// every agent of a service.
+    std::uint64_t search_bytes_per_second = 62'500'000;
   };
 
   /// \p codec and \p output must outlive the router.
@@ -89,6 +93,11 @@
                       const FlowTuple& tuple,
                       const RouteSettings& route,
                       TimePoint now);
+  /// Asks the agents that have not answered yet, if the searches' part of the
+  /// link allows it. Returns whether it does.
+  bool Ask(const FlowEntry& entry,
+           std::span<const std::uint8_t> datagram,
+           TimePoint now);
   /// Ends a search that nobody is left to answer. Returns whether it did, and
   /// with it forgot the flow.
   bool EndFruitlessSearch(const FlowTuple& tuple,
@@ -121,7 +130,7 @@
   /// Whether a flow that no known agent holds may be taken for lost.
   bool KnowsAllUpstreams(TimePoint now) const;
   /// Whether all upstreams seem to have lost their flows at once.
-  bool AreAllFlowsLost() const;
+  bool AreAllFlowsLost(TimePoint now) const;
   void AbandonFlowsOf(const AgentPeerPtr& agent, TimePoint now);
   void SendHeartbeats(TimePoint now);
   /// Whether packets can be decided on: the view and the first reports of the
@@ -146,6 +155,7 @@
   /// Flows without an owner, up to a telling number.
   std::unordered_set<FlowTuple, FlowTupleHash> m_ownerless;
   RetryBudget m_retry_budget;
+  TokenBucket m_search_bytes;
   TimePoint m_next_heartbeat;
   TimePoint m_next_sweep;
 };
--- a/src/libnet/flownodesettings.cpp
+++ b/src/libnet/flownodesettings.cpp
@@ -1,13 +1,33 @@
 #include "libnet/flownodesettings.h"
 
+#include <algorithm>
+
+#include "libnet/udpsocket.h"
+
 namespace fireflytrestle {
 
 namespace {
 
+constexpr double kBytesPerMegabit = 1e6 / 8;
+constexpr double kLeastLinkMegabits = 0.1;
+constexpr double kMostLinkMegabits = 1e6;
+/// Datagrams that wait longer than a tenth of a second are of no use: callers
+/// repeat a packet after 200 ms, and agents count as silent after 350 ms.
+constexpr std::uint64_t kSendBuffersPerSecond = 10;
+/// A batch of the largest datagrams.
+constexpr std::uint64_t kLeastSendBuffer =
+    UdpSocket::kBatch * UdpSocket::kMaxBytes;
+
 constexpr std::uint64_t kMaxLifetimeSeconds = 24ULL * 3600;
 
 }  // namespace
 
+int SendBufferBytes(const FlowNodeSettings& settings) {
+  return static_cast<int>(
+      std::clamp(settings.link_bytes_per_second / kSendBuffersPerSecond,
+                 kLeastSendBuffer, std::uint64_t{UdpSocket::kBufferBytes}));
+}
+
 std::vector<Setting> MakeFlowNodeSettingsTable(FlowNodeSettings* out) {
   return {
       TextSetting("instance", "NAME", "Name of this instance, for log lines",
@@ -27,6 +47,13 @@
                     [out](std::uint64_t seconds) {
                       out->flow_lifetime = std::chrono::seconds(seconds);
                     }),
+      DecimalSetting(
+          "link-mbps", "Rate of the instance's network link in Mbit/s", "1000",
+          kLeastLinkMegabits, kMostLinkMegabits,
+          [out](double megabits) {
+            out->link_bytes_per_second =
+                static_cast<std::uint64_t>(megabits * kBytesPerMegabit);
+          }),
       ChoiceSetting("log-level", {"debug", "info", "warning", "error"},
                     "Least level of the lines to log", "info", &out->log_level),
   };
--- a/src/libnet/flownodesettings.h
+++ b/src/libnet/flownodesettings.h
@@ -2,6 +2,7 @@
 #define FIREFLYTRESTLE_LIBNET_FLOWNODESETTINGS_H_
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -17,9 +18,14 @@
   SocketAddress admin_address;
   SocketAddress node_address;
   std::chrono::milliseconds flow_lifetime{0};
+  /// Rate of the instance's own link.
+  std::uint64_t link_bytes_per_second = 0;
   std::string log_level;
 };
 
+/// Returns the bytes that may wait in a socket for the link.
+int SendBufferBytes(const FlowNodeSettings& settings);
+
 /// Returns the settings that store to \p out, which must outlive them.
 std::vector<Setting> MakeFlowNodeSettingsTable(FlowNodeSettings* out);
 
--- a/src/libnet/udpsocket.cpp
+++ b/src/libnet/udpsocket.cpp
@@ -17,10 +17,6 @@
 
 namespace {
 
-// Holds about 3,000 datagrams, 0.1 s of traffic at the design rate of a
-// balancer. The kernel grants less where its limit is lower.
-constexpr int kSocketBufferBytes = 4 << 20;
-
 sockaddr_in ToSockaddr(const SocketAddress& address) {
   sockaddr_in raw{};
   raw.sin_family = AF_INET;
@@ -76,17 +72,18 @@
 }
 
 boost::leaf::result<std::unique_ptr<UdpSocket>> UdpSocket::Bind(
-    const SocketAddress& address) {
+    const SocketAddress& address,
+    int send_buffer_bytes) {
   const int descriptor =
       socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) {
     return SystemError(address, "cannot open a UDP socket");
   }
   std::unique_ptr<UdpSocket> opened(new UdpSocket(descriptor, address));
-  setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kSocketBufferBytes,
-             sizeof(kSocketBufferBytes));
-  setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &kSocketBufferBytes,
-             sizeof(kSocketBufferBytes));
+  setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kBufferBytes,
+             sizeof(kBufferBytes));
+  setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &send_buffer_bytes,
+             sizeof(send_buffer_bytes));
   sockaddr_in raw = ToSockaddr(address);
   if (bind(descriptor, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw)) !=
       0) {
--- a/src/libnet/udpsocket.h
+++ b/src/libnet/udpsocket.h
@@ -21,9 +21,11 @@
                                      std::span<const std::uint8_t> datagram)>;
 
   /// Fails with ErrorCode::kNetwork and a Fault, for example when the port is
-  /// taken. Port 0 takes any free port.
+  /// taken. Port 0 takes any free port. \p send_buffer_bytes bounds how much
+  /// waits for a slow link.
   static boost::leaf::result<std::unique_ptr<UdpSocket>> Bind(
-      const SocketAddress& address);
+      const SocketAddress& address,
+      int send_buffer_bytes = kBufferBytes);
 
   ~UdpSocket();
 
@@ -69,6 +71,9 @@
   /// An envelope with the longest datagram of a caller, with room to spare.
   static constexpr std::size_t kMaxBytes = 1500;
   static constexpr std::size_t kBatch = 32;
+  /// Holds about 3,000 datagrams, 0.1 s of traffic at the design rate of a
+  /// balancer. The kernel grants less where its limit is lower.
+  static constexpr int kBufferBytes = 4 << 20;
 
  private:
   struct Batches;
--- a/tests/libbase/settingsreadertest.cpp
+++ b/tests/libbase/settingsreadertest.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <cstring>
+#include <map>
 
 namespace fireflytrestle {
 
@@ -80,4 +81,24 @@
   }
 }
 
+TEST_CASE("Decimal numbers are read with or without a fraction") {
+  for (const auto& [text, expected] :
+       std::map<std::string, double>{{"5.2", 5.2},
+                                     {"1000.0", 1000.0},
+                                     {"10", 10.0},
+                                     {"", 0.0},
+                                     {"0.05", 0.0},
+                                     {"10 Mbit", 0.0},
+                                     {"nan", 0.0},
+                                     {"-1", 0.0}}) {
+    double value = 0.0;
+    const Setting setting =
+        DecimalSetting("rate", "Rate", std::nullopt, 0.1, 1e6,
+                       [&](double number) { value = number; });
+    const bool accepted = !setting.apply(text).has_value();
+    CHECK(accepted == (expected > 0.0));
+    CHECK(value == expected);
+  }
+}
+
 }  // namespace fireflytrestle
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "fakeupstream.h"
@@ -42,6 +43,8 @@
                     const NodeMessage& message) override {
       std::vector<std::uint8_t> bytes(2000);
       bytes.resize(EncodeNodeMessage(message, bytes));
+      m_site->delivered +=
+          std::holds_alternative<DeliverMessage>(message) ? 1 : 0;
       m_site->m_wire.push_back({m_self, node, std::move(bytes)});
     }
     void SendToUpstream(std::span<const std::uint8_t> packet) override;
@@ -132,6 +135,7 @@
     settings.incarnation = Incarnation{++m_incarnations};
     settings.zone = "a";
     settings.agent_port = kAgentPort;
+    settings.search_bytes_per_second = search_bytes_per_second;
     balancer.router = std::make_unique<FlowRouter>(
         settings, codec, balancer.output.get(), clock.Now());
     balancer.running = true;
@@ -337,6 +341,10 @@
   std::vector<SocketAddress> reset_senders;
   std::vector<std::string> decisions;
   std::size_t measurements = 0;
+  /// Packets of callers that balancers sent to agents.
+  std::size_t delivered = 0;
+  /// Setting of the balancers that start from now on.
+  std::uint64_t search_bytes_per_second = 1'000'000;
   /// Whether a datagram between two processes is lost; null for none.
   std::function<bool(const SocketAddress& from, const SocketAddress& to)> lost;
 
--- a/tests/libflow/lostflowstest.cpp
+++ b/tests/libflow/lostflowstest.cpp
@@ -33,8 +33,8 @@
 }
 
 /// Sends a packet of a flow that no upstream holds.
-FlowTuple SendStray(FlowSite* site) {
-  const FlowTuple tuple = FlowSite::Tuple(900);
+FlowTuple SendStray(FlowSite* site, std::uint32_t number = 0) {
+  const FlowTuple tuple = FlowSite::Tuple(900 + number);
   FlowPacket packet = FlowSite::Packet(tuple);
   packet.ack = true;
   packet.data_bytes = 10;
@@ -127,4 +127,33 @@
   CHECK(site.ResetsOf(SendStray(&site)) == 1);
 }
 
+TEST_CASE(
+    "pattern: callers of lost flows come back at a balancer with a slow link") {
+  // Each of 40 callers repeats its packet; asking 30 agents for every one of
+  // them would take 240 packets a second and caller.
+  FlowSite site(1, 30);
+  site.search_bytes_per_second = 60 * 30 * 150;
+  site.StartBalancer(0);
+  for (std::size_t i = 0; i < site.agents.size(); ++i) {
+    site.StartAgent(i);
+  }
+  site.Publish();
+  site.Run(milliseconds(50));
+  site.delivered = 0;
+  for (std::uint32_t caller = 1; caller <= 40; ++caller) {
+    SendStray(&site, caller);
+    site.Run(milliseconds(5));
+  }
+  for (std::uint32_t caller = 1; caller <= 40; ++caller) {
+    if (site.ResetsOf(FlowSite::Tuple(900 + caller)) == 0) {
+      SendStray(&site, caller);
+    }
+  }
+  for (std::uint32_t caller = 1; caller <= 40; ++caller) {
+    CHECK(site.ResetsOf(FlowSite::Tuple(900 + caller)) == 1);
+  }
+  // A quarter of a second's searches and those of the time that passed.
+  CHECK(site.delivered <= 30 * (15 + 13 + 1));
+}
+
 }  // namespace fireflytrestle
