Tell apart an agent that restarts and one whose upstream has ended

Planned replacements went on after the outage; an agent that is stopped asks for 6 s of patience, since its upstream goes on with its flows, but here the upstream had ended before. So every search waited for it, and the next one stopped before the 6 s were over.

Ruled out: upstreams that are full, lost messages (all other agents answered), the bound on searches (not reached then).

Change: when it is stopped, an agent connects once to its upstream. Refused, it resets the upstream's flows and says that the upstream has ended; balancers and searches no longer wait for it. A connection that is made changes nothing.

Tests: a search beside such an agent (fails without the change), and the real programs with and without a listener.

--- a/src/flowagent/flowagentprocess.cpp
+++ b/src/flowagent/flowagentprocess.cpp
@@ -15,6 +15,8 @@
 
 /// Time for the notice of the stop to leave the instance, sent twice.
 constexpr std::chrono::milliseconds kNoticeTime{20};
+/// A refusal from the own instance takes less than a millisecond.
+constexpr std::chrono::milliseconds kUpstreamCheckTime{100};
 
 }  // namespace
 
@@ -71,10 +73,26 @@
 }
 
 void FlowAgentProcess::BeginStop() {
-  m_logger->Write(LogLevel::kInfo, "stopping",
-                  "balancers are told to keep the flows");
+  if (m_stopping) {
+    return;
+  }
   m_stopping = true;
-  m_thread.Post([this] { m_worker->BeginStop(); });
+  // An instance that is removed loses its upstream first. Nobody finds the
+  // flows of such an upstream again, so that callers had better know.
+  m_upstream_check.Start(m_settings.upstream_address, kUpstreamCheckTime,
+                         [this](bool gone) { Stop(gone); });
+}
+
+void FlowAgentProcess::Stop(bool upstream_gone) {
+  m_logger->Write(LogLevel::kInfo, "stopping",
+                  upstream_gone ? "the upstream has ended; its flows are reset"
+                                : "balancers are told to keep the flows");
+  m_thread.Post([this, upstream_gone] {
+    if (upstream_gone) {
+      m_worker->OnUpstreamDown();
+    }
+    m_worker->BeginStop();
+  });
   CallAfter(&m_tasks, kNoticeTime, [this] {
     m_logger->Write(LogLevel::kInfo, "stopped", "the notice has been sent");
     QCoreApplication::quit();
--- a/src/flowagent/flowagentprocess.h
+++ b/src/flowagent/flowagentprocess.h
@@ -9,6 +9,7 @@
 #include "flowagent/flowagentworker.h"
 #include "libnet/adminendpoint.h"
 #include "libnet/flowreport.h"
+#include "libnet/listenercheck.h"
 #include "libnet/stopsignals.h"
 #include "libnet/taskqueue.h"
 #include "libnet/workerthread.h"
@@ -31,7 +32,9 @@
   boost::leaf::result<void> Start();
 
  private:
+  /// Asks whether the upstream is still there, and then stops.
   void BeginStop();
+  void Stop(bool upstream_gone);
   void OnReload();
   std::string Metrics() const;
   std::string State() const;
@@ -47,6 +50,7 @@
   std::unique_ptr<FlowAgentWorker> m_worker;
   std::unique_ptr<AdminEndpoint> m_admin;
   bool m_stopping = false;
+  ListenerCheck m_upstream_check;
   StopSignals m_signals;
 };
 
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -43,8 +43,11 @@
     return m_heard && m_oldest_flow < time;
   }
 
-  /// Neither registered any more nor heard of: the upstream has ended.
-  bool IsGone() const { return m_missing && !m_heard; }
+  /// The upstream has ended: its agent says so, or it is neither registered any
+  /// more nor heard of.
+  bool IsGone() const {
+    return m_phase == AgentPhase::kUpstreamDown || (m_missing && !m_heard);
+  }
 
   /// Expected wait for a new flow in units of one request's work; lower is
   /// better.
--- a/src/libflow/flowkeeper.cpp
+++ b/src/libflow/flowkeeper.cpp
@@ -449,7 +449,9 @@
 }
 
 void FlowKeeper::BeginStop(TimePoint now) {
-  SetPhase(AgentPhase::kStopping, now);
+  if (m_phase != AgentPhase::kUpstreamDown) {
+    SetPhase(AgentPhase::kStopping, now);
+  }
 }
 
 void FlowKeeper::SetPhase(AgentPhase phase, TimePoint now) {
--- /dev/null
+++ b/src/libnet/listenercheck.cpp
@@ -0,0 +1,36 @@
+#include "libnet/listenercheck.h"
+
+#include <QHostAddress>
+#include <QNetworkProxy>
+#include <utility>
+
+#include "libbase/socketaddress.h"
+#include "libnet/taskqueue.h"
+
+namespace fireflytrestle {
+
+void ListenerCheck::Start(const SocketAddress& address,
+                          std::chrono::milliseconds timeout,
+                          Handler handler) {
+  m_handler = std::move(handler);
+  m_socket.setProxy(QNetworkProxy::NoProxy);
+  QObject::connect(&m_socket, &QTcpSocket::connected, &m_socket,
+                   [this] { Finish(false); });
+  QObject::connect(&m_socket, &QTcpSocket::errorOccurred, &m_socket,
+                   [this](QAbstractSocket::SocketError error) {
+                     Finish(error == QAbstractSocket::ConnectionRefusedError);
+                   });
+  m_socket.connectToHost(QHostAddress(address.ipv4), address.port);
+  CallAfter(&m_socket, timeout, [this] { Finish(false); });
+}
+
+void ListenerCheck::Finish(bool gone) {
+  if (!m_handler) {
+    return;
+  }
+  const Handler handler = std::exchange(m_handler, nullptr);
+  m_socket.abort();
+  handler(gone);
+}
+
+}  // namespace fireflytrestle
--- a/tests/libflow/lostflowstest.cpp
+++ b/tests/libflow/lostflowstest.cpp
@@ -127,6 +127,30 @@
   CHECK(site.ResetsOf(SendStray(&site)) == 1);
 }
 
+TEST_CASE("a search does not wait for an agent whose upstream has ended") {
+  FlowSite site(1, 4);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(300));
+  FlowSite::Agent* removed = site.OwnerOf(tuple);
+  REQUIRE(removed != nullptr);
+  SUBCASE("the agent says so when it stops") {
+    removed->keeper->OnUpstreamDown(site.clock.Now());
+    removed->keeper->BeginStop(site.clock.Now());
+    site.Settle();
+    removed->running = false;
+    CHECK(site.ResetsOf(tuple) == 1);
+    CHECK(site.ResetsOf(SendStray(&site)) == 1);
+  }
+  SUBCASE("one that restarts beside its upstream is waited for") {
+    removed->keeper->BeginStop(site.clock.Now());
+    site.Settle();
+    removed->running = false;
+    CHECK(site.ResetsOf(tuple) == 0);
+    CHECK(site.ResetsOf(SendStray(&site)) == 0);
+  }
+}
+
 TEST_CASE(
     "pattern: callers of lost flows come back at a balancer with a slow link") {
   // Each of 40 callers repeats its packet; asking 30 agents for every one of
--- a/tests/programs/wholeflowtest.cpp
+++ b/tests/programs/wholeflowtest.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <QProcess>
+#include <QTcpServer>
 #include <QTcpSocket>
 #include <algorithm>
 #include <chrono>
@@ -260,6 +261,24 @@
   CHECK(site.Open());
 }
 
+TEST_CASE("An agent that is stopped resets the flows of an ended upstream") {
+  LoopbackSite site;
+  REQUIRE(site.Open());
+  REQUIRE(site.Request(1));
+  QTcpServer listener;
+  SUBCASE("the upstream has ended") {
+    site.agent->terminate();
+    CHECK(site.Exchange(LoopbackSite::RequestPacket(2), IsReset));
+  }
+  SUBCASE("the upstream lives") {
+    REQUIRE(listener.listen(QHostAddress(kSideAddress), kUpstreamPort));
+    site.agent->terminate();
+    CHECK(site.agent->waitForFinished(kExitTimeoutMs));
+    site.StartAgent();
+    CHECK(site.Request(2));
+  }
+}
+
 TEST_CASE("Both programs stop with code 0 and take a reload without ending") {
   LoopbackSite site;
   for (QProcess* process : {site.agent.get(), &site.balancer}) {
