Add a soak of the real flow programs with faults from outside

Balancers and agents run as processes on loopback. A proxy, which gives each of them the address that the others know it by, delays, loses and cuts their datagrams, one way or both; processes are killed, stopped, paused and restarted in series that overlap; the store resets, refuses, answers late or not at all, to some readers or to all, and drops its history; upstreams restart and drain; a zone goes out and in; the configuration changes. Clocks are left alone, since no decision reads the time of day.

Callers and upstreams check while it runs: no reset of an open flow of a living upstream by calm processes, no request at another service's upstream, no answer to another request, no order that runs twice, no new flow at a draining upstream or in a zone taken out, no process that ends by itself or stops with an error, and every request served once the faults have ended.

--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,105 @@
+#include <popt.h>
+
+#include <QCoreApplication>
+#include <QDir>
+#include <cstdio>
+
+#include "soak/soakrun.h"
+#include "soak/soaksite.h"
+
+namespace fireflytrestle {
+namespace {
+
+struct Options {
+  char* programs = nullptr;
+  char* work = nullptr;
+  int seed = 1;
+  int seeds = 1;
+  int seconds = 20;
+  int balancers = 3;
+  int agents = 5;
+  int network = 30;
+};
+
+/// Returns whether every promise held.
+bool RunSeed(const Options& options, std::uint64_t seed) {
+  const QString logs = QString(options.work) + "/" + QString::number(seed);
+  QDir(logs).removeRecursively();
+  QDir().mkpath(logs);
+  SoakSite::Size size;
+  size.balancers = static_cast<std::size_t>(options.balancers);
+  size.agents = static_cast<std::size_t>(options.agents);
+  SoakSite site(size, seed, options.network, options.programs, logs);
+  if (!site.Start()) {
+    std::printf("seed %llu: the site did not get ready; see %s\n",
+                static_cast<unsigned long long>(seed), qPrintable(logs));
+    return false;
+  }
+  SoakRun run(&site, seed);
+  run.Run(std::chrono::seconds(options.seconds));
+  std::printf("seed %llu: %s, violations %zu\n",
+              static_cast<unsigned long long>(seed), site.Summary().c_str(),
+              site.violations().size());
+  if (!site.violations().empty()) {
+    for (const std::string& line : run.history()) {
+      std::printf("  %s\n", line.c_str());
+    }
+    for (const std::string& violation : site.violations()) {
+      std::printf("  VIOLATION %s\n", violation.c_str());
+    }
+    std::printf("  logs: %s\n", qPrintable(logs));
+  }
+  std::fflush(stdout);
+  return site.violations().empty();
+}
+
+int Main(int argc, char** argv) {
+  const QCoreApplication application(argc, argv);
+  Options options;
+  const poptOption table[] = {
+      {"seed", 0, POPT_ARG_INT, &options.seed, 0, "first seed", "N"},
+      {"seeds", 0, POPT_ARG_INT, &options.seeds, 0, "number of seeds", "N"},
+      {"seconds", 0, POPT_ARG_INT, &options.seconds, 0,
+       "time of faults for each seed", "N"},
+      {"balancers", 0, POPT_ARG_INT, &options.balancers, 0,
+       "balancers, 1 to 40", "N"},
+      {"agents", 0, POPT_ARG_INT, &options.agents, 0,
+       "agents and upstreams, 2 to 150", "N"},
+      {"network", 0, POPT_ARG_INT, &options.network, 0,
+       "second byte of all addresses, 2 to 250", "N"},
+      {"programs", 0, POPT_ARG_STRING, &options.programs, 0,
+       "folder of the programs", "FOLDER"},
+      {"work", 0, POPT_ARG_STRING, &options.work, 0, "folder for logs",
+       "FOLDER"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context =
+      poptGetContext(nullptr, argc, const_cast<const char**>(argv), table, 0);
+  const int parsed = poptGetNextOpt(context);
+  poptFreeContext(context);
+  const auto within = [](int value, int least, int most) {
+    return value >= least && value <= most;
+  };
+  if (parsed != -1 || options.programs == nullptr || options.work == nullptr ||
+      !within(options.balancers, 1, 40) || !within(options.agents, 2, 150) ||
+      !within(options.network, 2, 250) || !within(options.seconds, 1, 3600) ||
+      options.seed < 0 || options.seeds < 1) {
+    std::fprintf(stderr,
+                 "--programs and --work are needed, numbers must be in range; "
+                 "see --help\n");
+    return 2;
+  }
+  int failed = 0;
+  for (int i = 0; i < options.seeds; ++i) {
+    failed +=
+        RunSeed(options, static_cast<std::uint64_t>(options.seed + i)) ? 0 : 1;
+  }
+  std::printf("%d passed, %d failed\n", options.seeds - failed, failed);
+  return failed == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace fireflytrestle
+
+int main(int argc, char** argv) {
+  return fireflytrestle::Main(argc, argv);
+}
--- /dev/null
+++ b/tests/soak/soakcallers.h
@@ -0,0 +1,98 @@
+#ifndef FIREFLYTRESTLE_TESTS_SOAK_SOAKCALLERS_H_
+#define FIREFLYTRESTLE_TESTS_SOAK_SOAKCALLERS_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "libbase/clock.h"
+#include "libbase/seededrandom.h"
+#include "libflow/flowpacket.h"
+#include "libflow/flowtuple.h"
+#include "soak/soakpayload.h"
+
+namespace fireflytrestle {
+
+class UdpSocket;
+
+/// \brief Callers on real sockets: long-lived feeds that make a request every
+/// now and then, and orders with a flow each. They repeat unanswered packets
+/// and give up as the users' callers do.
+class SoakCallers {
+ public:
+  struct Route {
+    SocketAddress address;
+    std::uint64_t service = 0;
+    /// Flows are kept for many requests, which may be repeated.
+    bool feed = false;
+  };
+
+  struct Port {
+    /// Returns the address of the balancer that gets a flow's packets.
+    std::function<SocketAddress(const FlowTuple&)> route;
+    /// A reset came from the process at \p sender.
+    std::function<void(const FlowTuple&, const SocketAddress& sender)> on_reset;
+    /// An answer that belongs to no request of the flow.
+    std::function<void(const FlowTuple&)> on_stray_answer;
+  };
+
+  struct Counts {
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t failed = 0;
+  };
+
+  /// Callers are bound to \p addresses.
+  SoakCallers(const std::vector<SocketAddress>& addresses,
+              std::uint64_t seed,
+              Port port);
+  ~SoakCallers();
+
+  bool AreBound() const;
+  void Start(const Route& route, TimePoint now);
+  void Run(TimePoint now);
+
+  const Counts& counts() const { return m_counts; }
+
+ private:
+  struct Flow {
+    Route route;
+    std::uint32_t syn_sequence = 0;
+    /// Sequence number of the upstream; 0 until the flow is offered.
+    std::uint32_t upstream_sequence = 0;
+    std::uint32_t requests = 0;
+    int tries = 0;
+    SoakPayload payload;
+    bool waiting = true;
+    TimePoint began;
+    TimePoint next_copy;
+    std::chrono::milliseconds copy_after{0};
+  };
+
+  void Open(Flow flow, TimePoint now);
+  /// Counts a request that got no answer; a feed goes on after a pause.
+  void Fail(const Route& route, TimePoint now);
+  void Request(const FlowTuple& tuple, Flow* flow, TimePoint now);
+  void SendCopy(const FlowTuple& tuple, Flow* flow, TimePoint now);
+  void OnPacket(const SocketAddress& sender,
+                const FlowPacket& packet,
+                const SoakPayload& payload,
+                TimePoint now);
+  void Send(const FlowTuple& tuple, const FlowPacket& packet, const Flow& flow);
+
+  SeededRandom m_random;
+  Port m_port;
+  std::vector<std::unique_ptr<UdpSocket>> m_sockets;
+  std::uint32_t m_last_port = 1024;
+  std::uint64_t m_last_request = 0;
+  std::unordered_map<FlowTuple, Flow, FlowTupleHash> m_flows;
+  /// Feeds that failed, and when they start again.
+  std::vector<std::pair<TimePoint, Route>> m_pausing;
+  Counts m_counts;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_TESTS_SOAK_SOAKCALLERS_H_
--- /dev/null
+++ b/tests/soak/soakrun.h
@@ -0,0 +1,56 @@
+#ifndef FIREFLYTRESTLE_TESTS_SOAK_SOAKRUN_H_
+#define FIREFLYTRESTLE_TESTS_SOAK_SOAKRUN_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "libbase/clock.h"
+#include "libbase/seededrandom.h"
+
+namespace fireflytrestle {
+
+class SoakSite;
+
+/// \brief Causes random faults on a site, in series and overlapping, while it
+/// serves, and ends them all before the last check.
+class SoakRun {
+ public:
+  /// \p site must outlive the run.
+  SoakRun(SoakSite* site, std::uint64_t seed) : m_site(site), m_random(seed) {}
+
+  void Run(std::chrono::milliseconds time);
+
+  /// What was done and when, a line each.
+  const std::vector<std::string>& history() const { return m_history; }
+
+ private:
+  struct Ending {
+    TimePoint at;
+    std::function<void()> end;
+  };
+
+  void CauseFault();
+  void Kill(std::size_t instance, int signal, std::chrono::milliseconds down);
+  void Pause(std::size_t instance);
+  void ImpairLink(std::size_t instance);
+  void ImpairStore();
+  void ChangeUpstream();
+  void ChangePlan();
+  void KillMany();
+  void After(std::chrono::milliseconds time, std::function<void()> end);
+  void Note(const std::string& what);
+  std::uint64_t Draw(std::uint64_t below) { return m_random.Below(below); }
+  std::chrono::milliseconds DrawTime(int least_ms, int most_ms);
+
+  SoakSite* m_site;
+  SeededRandom m_random;
+  TimePoint m_begin{};
+  std::vector<Ending> m_endings;
+  std::vector<std::string> m_history;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_TESTS_SOAK_SOAKRUN_H_
--- /dev/null
+++ b/tests/soak/soaksite.cpp
@@ -0,0 +1,477 @@
+#include "soak/soaksite.h"
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QTcpSocket>
+#include <QTimer>
+#include <csignal>
+
+namespace fireflytrestle {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint16_t kPacketPort = 21870;
+constexpr std::uint16_t kNodePort = 21871;
+constexpr std::uint16_t kAdminPort = 21872;
+constexpr std::uint16_t kUpstreamPort = 21873;
+constexpr std::uint16_t kOutboundPort = 21874;
+/// Blocks of addresses: the third byte.
+enum Block { kBalancers = 1, kAgents, kBalancerFaces, kAgentFaces, kCallers };
+constexpr std::size_t kCallerAddresses = 4;
+constexpr std::uint32_t kRouteAddress = 0xC6120001;
+constexpr std::uint16_t kFeedPort = 443;
+constexpr std::uint16_t kOrderPort = 8080;
+constexpr milliseconds kReadyTimeout{10000};
+constexpr milliseconds kProbeInterval{500};
+constexpr milliseconds kReadyAnswer{300};
+constexpr int kStepMs = 2;
+/// Agents report every 100 ms and balancers every 250 ms; a longer silence
+/// shows that the machine did not let them run.
+constexpr milliseconds kStall{250};
+constexpr milliseconds kBalancerStall{600};
+/// A pause of the soak itself stops everything around the processes.
+constexpr milliseconds kOwnStall{100};
+constexpr char kTakenOutZone[] = "b";
+
+}  // namespace
+
+SoakSite::SoakSite(const Size& size,
+                   std::uint64_t seed,
+                   int network,
+                   const QString& programs,
+                   const QString& logs)
+    : m_size(size),
+      m_network(network),
+      m_processes(programs, logs),
+      m_store(QHostAddress(At(kCallers, 100, 1).ipv4), size.balancers),
+      m_proxy(seed, [this](const SocketAddress& face) {
+        for (Instance& each : m_instances) {
+          if (each.face == face) {
+            each.last_message = Now();
+          }
+        }
+      }) {
+  for (std::size_t i = 0; i < size.balancers + size.agents; ++i) {
+    const bool balancer = IsBalancer(i);
+    const std::size_t number = balancer ? i : i - size.balancers;
+    Instance instance;
+    instance.name =
+        (balancer ? "balancer-" : "agent-") + std::to_string(number);
+    instance.zone = number % 2 == 0 ? "a" : kTakenOutZone;
+    const std::uint16_t port = balancer ? kNodePort : kPacketPort;
+    instance.process = At(balancer ? kBalancers : kAgents, number, port);
+    instance.face = At(balancer ? kBalancerFaces : kAgentFaces, number, port);
+    m_instances.push_back(instance);
+  }
+  for (std::size_t agent = 0; agent < size.agents; ++agent) {
+    Upstream upstream;
+    upstream.service = agent < size.agents - 1 ? 0 : 1;
+    upstream.upstream = std::make_unique<SoakUpstream>(
+        At(kAgents, agent, kUpstreamPort), At(kAgents, agent, kOutboundPort),
+        static_cast<std::uint32_t>(agent + 1),
+        SoakUpstream::Observer{
+            [this, agent](const FlowTuple& tuple) { OnOpening(agent, tuple); },
+            [this, agent](const SoakPayload& payload) {
+              OnRun(agent, payload);
+            }});
+    upstream.listener = std::make_unique<QTcpServer>();
+    upstream.listener->listen(QHostAddress(At(kAgents, agent, 1).ipv4),
+                              kUpstreamPort);
+    m_upstreams.push_back(std::move(upstream));
+  }
+  for (std::size_t service = 0; service < kServices; ++service) {
+    const auto shift = static_cast<std::uint16_t>(service);
+    m_routes.push_back(
+        {{kRouteAddress, static_cast<std::uint16_t>(kFeedPort + shift)},
+         service,
+         true});
+    m_routes.push_back(
+        {{kRouteAddress, static_cast<std::uint16_t>(kOrderPort + shift)},
+         service,
+         false});
+  }
+  std::vector<SocketAddress> callers;
+  for (std::size_t i = 0; i < kCallerAddresses; ++i) {
+    callers.push_back(At(kCallers, i, kPacketPort));
+  }
+  m_callers = std::make_unique<SoakCallers>(
+      callers, seed,
+      SoakCallers::Port{
+          [this](const FlowTuple& tuple) { return Route(tuple); },
+          [this](const FlowTuple& tuple, const SocketAddress& sender) {
+            OnReset(tuple, sender);
+          },
+          [this](const FlowTuple& tuple) {
+            Fail("an answer for another request reached " +
+                 ToString(tuple.caller));
+          }});
+}
+
+SocketAddress SoakSite::At(int block,
+                           std::size_t number,
+                           std::uint16_t port) const {
+  constexpr std::uint32_t kLoopback = 127U << 24U;
+  return {kLoopback | static_cast<std::uint32_t>(m_network) << 16U |
+              static_cast<std::uint32_t>(block) << 8U |
+              static_cast<std::uint32_t>(number + 1),
+          port};
+}
+
+bool SoakSite::Start() {
+  PublishConfiguration();
+  for (std::size_t agent = 0; agent < m_size.agents; ++agent) {
+    if (!m_upstreams[agent].upstream->IsBound()) {
+      return false;
+    }
+    PutEntry(agent);
+  }
+  for (std::size_t i = 0; i < m_instances.size(); ++i) {
+    if (!m_proxy.Add(m_instances[i].process, m_instances[i].face)) {
+      return false;
+    }
+    m_instances[i].ready = !IsBalancer(i);
+    StartProcess(i);
+  }
+  if (!m_callers->AreBound()) {
+    return false;
+  }
+  const TimePoint begin = Now();
+  const auto all_ready = [this] {
+    for (const Instance& each : m_instances) {
+      if (!each.ready) {
+        return false;
+      }
+    }
+    return true;
+  };
+  while (!all_ready() && Now() - begin < kReadyTimeout) {
+    Step();
+  }
+  for (std::size_t feed = 0; feed < m_size.feeds; ++feed) {
+    m_callers->Start(m_routes[feed % 4 == 0 ? 2 : 0], Now());
+  }
+  return all_ready();
+}
+
+QStringList SoakSite::Arguments(std::size_t index) const {
+  const Instance& instance = m_instances[index];
+  const auto text = [](const SocketAddress& address) {
+    return QString::fromStdString(ToString(address));
+  };
+  const std::uint32_t ipv4 = instance.process.ipv4;
+  QStringList arguments{"--instance=" + QString::fromStdString(instance.name),
+                        "--zone=" + QString::fromStdString(instance.zone),
+                        "--admin-address=" + text({ipv4, kAdminPort}),
+                        "--node-address=" + text(instance.process)};
+  if (IsBalancer(index)) {
+    const SocketAddress store{At(kCallers, 100, 1).ipv4, m_store.port(index)};
+    return arguments << "--frontend-address=" + text({ipv4, kPacketPort})
+                     << "--platform-address=" + text(store);
+  }
+  const Upstream& upstream = m_upstreams[index - m_size.balancers];
+  return arguments << "--service=s" + QString::number(upstream.service)
+                   << "--outbound-address=" + text({ipv4, kOutboundPort})
+                   << "--upstream-address=" + text({ipv4, kUpstreamPort})
+                   << "--seed-balancers=" + text(m_instances[0].face)
+                   << "--balancer-port=" + QString::number(kNodePort);
+}
+
+void SoakSite::StartProcess(std::size_t index) {
+  Instance& instance = m_instances[index];
+  if (m_processes.IsRunning(instance.name)) {
+    return;
+  }
+  instance.stopped_on_purpose = false;
+  instance.last_message = Now();
+  m_processes.Start(instance.name,
+                    IsBalancer(index) ? "fireflytrestle-flowbalancer"
+                                      : "fireflytrestle-flowagent",
+                    Arguments(index));
+}
+
+bool SoakSite::IsRunning(std::size_t instance) const {
+  return m_processes.IsRunning(m_instances[instance].name);
+}
+
+void SoakSite::Signal(std::size_t index, int signal) {
+  Instance& instance = m_instances[index];
+  m_processes.Signal(instance.name, signal);
+  if (signal == SIGTERM) {
+    instance.stopped_on_purpose = true;
+  } else if (signal != SIGHUP) {
+    instance.stopped_on_purpose |= signal == SIGKILL;
+    Disturb(index);
+  }
+}
+
+LoopbackProxy::Impairment& SoakSite::From(std::size_t instance) {
+  Disturb(instance);
+  return m_proxy.from(m_instances[instance].face);
+}
+
+LoopbackProxy::Impairment& SoakSite::To(std::size_t instance) {
+  Disturb(instance);
+  return m_proxy.to(m_instances[instance].face);
+}
+
+void SoakSite::SetStoreFault(std::size_t balancer, FakeStore::Fault fault) {
+  m_store.SetFault(balancer, fault);
+  m_store_disturbed = Now();
+  if (fault == FakeStore::Fault::kNone) {
+    m_store_faults.erase(balancer);
+  } else {
+    m_store_faults.insert(balancer);
+  }
+}
+
+void SoakSite::DropStoreHistory() {
+  m_store.DropHistory();
+  m_store_disturbed = Now();
+}
+
+void SoakSite::RestartUpstream(std::size_t agent) {
+  m_upstreams[agent].upstream->Restart();
+  ++m_upstreams[agent].lifetime;
+  Disturb(m_size.balancers + agent);
+  PutEntry(agent);
+}
+
+void SoakSite::SetDraining(std::size_t agent, bool draining) {
+  m_upstreams[agent].draining = draining;
+  m_upstreams[agent].draining_since = Now();
+  PutEntry(agent);
+}
+
+void SoakSite::SetZoneOut(bool out) {
+  m_zone_out = out;
+  m_zone_out_since = Now();
+  const std::string key = std::string("op/evacuate/") + kTakenOutZone;
+  out ? m_store.Put(key, "{}") : m_store.Remove(key);
+}
+
+void SoakSite::PutEntry(std::size_t agent) {
+  const Upstream& upstream = m_upstreams[agent];
+  const Instance& instance = m_instances[m_size.balancers + agent];
+  m_store.Put("servers/i-" + std::to_string(agent),
+              R"({"service":"s)" + std::to_string(upstream.service) +
+                  R"(","address":")" +
+                  ToString({instance.face.ipv4, kUpstreamPort}) +
+                  R"(","zone":")" + instance.zone +
+                  R"(","version":"v1","concurrency_limit":3,"born":)" +
+                  std::to_string(upstream.lifetime) + R"(,"state":")" +
+                  (upstream.draining ? "draining" : "ready") +
+                  R"(","cold_left_ms":0,"seq":1})");
+}
+
+void SoakSite::PublishConfiguration() {
+  std::string routes;
+  for (const SoakCallers::Route& route : m_routes) {
+    routes += routes.empty() ? "" : ",";
+    routes += R"({"name":"r","host":"198.18.0.1","prefix":"/)" +
+              std::to_string(route.address.port) + R"(/","kind":")" +
+              (route.feed ? "safe" : "unsafe") +
+              R"(","timeout_ms":1000,"slo_ms":200,"service":"s)" +
+              std::to_string(route.service) + "\"}";
+  }
+  m_store.Put("op/config",
+              R"({"version":)" + std::to_string(++m_configuration) +
+                  R"(,"routes":[)" + routes +
+                  R"(],"services":[{"name":"s0","max_conns":2000},)"
+                  R"({"name":"s1","max_conns":2000}],)"
+                  R"("limits":{"idle_timeout_ms":15000}})");
+}
+
+void SoakSite::HealAll() {
+  m_proxy.HealAll();
+  for (std::size_t i = 0; i < m_instances.size(); ++i) {
+    m_processes.Signal(m_instances[i].name, SIGCONT);
+    StartProcess(i);
+    Disturb(i);
+  }
+  for (std::size_t balancer = 0; balancer < m_size.balancers; ++balancer) {
+    SetStoreFault(balancer, FakeStore::Fault::kNone);
+  }
+  for (std::size_t agent = 0; agent < m_size.agents; ++agent) {
+    SetDraining(agent, false);
+  }
+  SetZoneOut(false);
+}
+
+void SoakSite::Run(milliseconds time, int orders_per_second) {
+  const TimePoint begin = Now();
+  const Duration interval =
+      Duration(std::chrono::seconds(1)) / std::max(orders_per_second, 1);
+  TimePoint next_order = begin;
+  std::uint64_t orders = 0;
+  while (Now() - begin < time) {
+    if (Now() >= next_order && orders_per_second > 0) {
+      next_order += interval;
+      m_callers->Start(m_routes[++orders % 4 == 0 ? 3 : 1], Now());
+    }
+    Step();
+  }
+}
+
+void SoakSite::Step() {
+  QCoreApplication::processEvents(QEventLoop::AllEvents, kStepMs);
+  const TimePoint now = Now();
+  if (m_last_step != TimePoint{} && now - m_last_step > kOwnStall) {
+    ++m_stalls;
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+      Disturb(i);
+    }
+  }
+  m_last_step = now;
+  m_proxy.Run(now);
+  for (const Upstream& each : m_upstreams) {
+    each.upstream->Run(now);
+  }
+  m_callers->Run(now);
+  if (now - m_last_probe >= kProbeInterval) {
+    m_last_probe = now;
+    for (std::size_t i = 0; i < m_size.balancers; ++i) {
+      ProbeReadiness(i);
+    }
+    WatchForStalls();
+  }
+}
+
+void SoakSite::ProbeReadiness(std::size_t index) {
+  auto* socket = new QTcpSocket;
+  QObject::connect(socket, &QTcpSocket::connected, socket, [socket] {
+    socket->write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  });
+  QTimer::singleShot(kReadyAnswer, socket, [this, socket, index] {
+    m_instances[index].ready =
+        socket->isOpen() && socket->readAll().contains(" 200 ");
+    socket->abort();
+    socket->deleteLater();
+  });
+  socket->connectToHost(QHostAddress(m_instances[index].process.ipv4),
+                        kAdminPort);
+}
+
+void SoakSite::WatchForStalls() {
+  for (std::size_t i = 0; i < m_instances.size(); ++i) {
+    const Instance& each = m_instances[i];
+    const Duration bound = IsBalancer(i) ? kBalancerStall : kStall;
+    if (IsRunning(i) && IsCalm(i) && Now() - each.last_message > bound) {
+      ++m_stalls;
+      Disturb(i);
+    }
+    if (!IsRunning(i) && !each.stopped_on_purpose) {
+      Fail(each.name + " ended by itself");
+      StartProcess(i);
+    }
+    if (!IsRunning(i) && each.stopped_on_purpose &&
+        m_processes.ExitCode(each.name) > 0) {
+      Fail(each.name + " stopped with exit code " +
+           std::to_string(m_processes.ExitCode(each.name)));
+    }
+  }
+}
+
+void SoakSite::Disturb(std::size_t instance) {
+  m_instances[instance].disturbed = Now();
+}
+
+bool SoakSite::IsCalm(std::size_t instance) const {
+  return Now() - m_instances[instance].disturbed > kCalmAfter;
+}
+
+bool SoakSite::IsStoreCalm() const {
+  return m_store_faults.empty() && Now() - m_store_disturbed > kCalmAfter;
+}
+
+SocketAddress SoakSite::Route(const FlowTuple& tuple) const {
+  std::vector<std::size_t> rotation;
+  for (std::size_t i = 0; i < m_size.balancers; ++i) {
+    if (m_instances[i].ready) {
+      rotation.push_back(i);
+    }
+  }
+  for (std::size_t i = 0; rotation.empty() && i < m_size.balancers; ++i) {
+    rotation.push_back(i);
+  }
+  const std::size_t chosen = rotation[MixTuple(tuple) % rotation.size()];
+  return {m_instances[chosen].process.ipv4, kPacketPort};
+}
+
+void SoakSite::OnReset(const FlowTuple& tuple, const SocketAddress& sender) {
+  for (std::size_t agent = 0; agent < m_size.agents; ++agent) {
+    if (!m_upstreams[agent].upstream->HoldsOpen(tuple)) {
+      continue;
+    }
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+      const bool sent_it = m_instances[i].process.ipv4 == sender.ipv4;
+      if (sent_it && IsCalm(i) && IsCalm(m_size.balancers + agent)) {
+        Fail(m_instances[i].name + " reset a flow of " +
+             ToString(tuple.caller) + " that the upstream of " +
+             m_instances[m_size.balancers + agent].name + " holds");
+      }
+    }
+  }
+}
+
+void SoakSite::OnOpening(std::size_t agent, const FlowTuple& tuple) {
+  const Upstream& upstream = m_upstreams[agent];
+  const std::size_t instance = m_size.balancers + agent;
+  bool calm = IsStoreCalm() && IsCalm(instance);
+  for (std::size_t i = 0; i < m_size.balancers; ++i) {
+    calm = calm && IsCalm(i);
+  }
+  // A copy of a SYN may be a second on its way.
+  const Duration copies = std::chrono::seconds(1);
+  const bool drained = upstream.draining &&
+                       Now() - upstream.draining_since > kDrainBound + copies;
+  const bool out = m_zone_out && m_instances[instance].zone == kTakenOutZone &&
+                   Now() - m_zone_out_since > kZoneOutBound + copies;
+  if (calm && (drained || out)) {
+    Fail("a new flow of " + ToString(tuple.caller) +
+         " reached the upstream of " + m_instances[instance].name +
+         (drained ? ", which is draining" : ", whose zone is out"));
+  }
+}
+
+void SoakSite::OnRun(std::size_t agent, const SoakPayload& payload) {
+  if (payload.service != m_upstreams[agent].service) {
+    Fail("a request reached the upstream of another service, that of " +
+         m_instances[m_size.balancers + agent].name);
+  }
+  ++m_runs[payload.request];
+}
+
+void SoakSite::CheckServes() {
+  const SoakCallers::Counts before = m_callers->counts();
+  constexpr milliseconds kCheck{2000};
+  constexpr int kOrders = 50;
+  Run(kCheck, kOrders);
+  const SoakCallers::Counts after = m_callers->counts();
+  if (after.failed != before.failed) {
+    Fail(std::to_string(after.failed - before.failed) + " of " +
+         std::to_string(after.requests - before.requests) +
+         " requests failed after all faults had ended");
+  }
+  for (const auto& [request, runs] : m_runs) {
+    if (runs > 1 && (request & SoakPayload::kOrder) != 0) {
+      Fail("order " + std::to_string(request & ~SoakPayload::kOrder) + " ran " +
+           std::to_string(runs) + " times");
+    }
+  }
+}
+
+std::string SoakSite::Summary() const {
+  const SoakCallers::Counts& counts = m_callers->counts();
+  return "requests " + std::to_string(counts.requests) + ", answered " +
+         std::to_string(counts.answered) + ", failed " +
+         std::to_string(counts.failed) + ", stalls of the machine " +
+         std::to_string(m_stalls);
+}
+
+void SoakSite::Fail(const std::string& what) {
+  m_violations.push_back(what);
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/tests/soak/soaksite.h
@@ -0,0 +1,141 @@
+#ifndef FIREFLYTRESTLE_TESTS_SOAK_SOAKSITE_H_
+#define FIREFLYTRESTLE_TESTS_SOAK_SOAKSITE_H_
+
+#include <QTcpServer>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fakes/fakestore.h"
+#include "fakes/siteprocesses.h"
+#include "libbase/steadyclock.h"
+#include "soak/loopbackproxy.h"
+#include "soak/soakcallers.h"
+#include "soak/soakupstream.h"
+
+namespace fireflytrestle {
+
+/// \brief A site of real processes on loopback with callers, upstreams, a store
+/// and a proxy between the processes, and the promises that must hold.
+class SoakSite {
+ public:
+  struct Size {
+    std::size_t balancers = 3;
+    std::size_t agents = 5;
+    std::size_t feeds = 30;
+  };
+
+  /// A process counts as calm this long after the last fault on it.
+  static constexpr std::chrono::seconds kCalmAfter{4};
+  /// No new flow reaches a draining upstream or a zone taken out after this.
+  static constexpr std::chrono::seconds kDrainBound{3};
+  static constexpr std::chrono::seconds kZoneOutBound{5};
+  static constexpr std::size_t kServices = 2;
+
+  /// \p network is the second byte of all addresses, so that several soaks can
+  /// run side by side.
+  SoakSite(const Size& size,
+           std::uint64_t seed,
+           int network,
+           const QString& programs,
+           const QString& logs);
+
+  /// Starts all processes. Returns whether all are ready within 10 s.
+  bool Start();
+
+  /// Runs traffic and checks until \p until; \p orders_per_second is on top of
+  /// the feeds.
+  void Run(std::chrono::milliseconds time, int orders_per_second);
+
+  /// Faults. Instances are numbered: balancers first, agents after them.
+  std::size_t instances() const { return m_instances.size(); }
+  std::size_t balancers() const { return m_size.balancers; }
+  void Signal(std::size_t instance, int signal);
+  void StartProcess(std::size_t instance);
+  bool IsRunning(std::size_t instance) const;
+  /// Faults at the proxy; each one disturbs the instance.
+  LoopbackProxy::Impairment& From(std::size_t instance);
+  LoopbackProxy::Impairment& To(std::size_t instance);
+  void SetStoreFault(std::size_t balancer, FakeStore::Fault fault);
+  void DropStoreHistory();
+  void RestartUpstream(std::size_t agent);
+  void SetDraining(std::size_t agent, bool draining);
+  void SetZoneOut(bool out);
+  void PublishConfiguration();
+  /// Ends all faults and starts what does not run.
+  void HealAll();
+
+  /// Waits until the site is calm and checks that all new flows are served.
+  void CheckServes();
+
+  const std::vector<std::string>& violations() const { return m_violations; }
+  std::string Summary() const;
+  TimePoint Now() const { return m_clock.Now(); }
+
+ private:
+  struct Instance {
+    std::string name;
+    SocketAddress process;
+    SocketAddress face;
+    std::string zone;
+    TimePoint disturbed{};
+    TimePoint last_message{};
+    bool stopped_on_purpose = false;
+    bool ready = true;
+  };
+
+  struct Upstream {
+    std::unique_ptr<SoakUpstream> upstream;
+    std::unique_ptr<QTcpServer> listener;
+    std::size_t service = 0;
+    std::uint64_t lifetime = 1;
+    bool draining = false;
+    TimePoint draining_since{};
+  };
+
+  QStringList Arguments(std::size_t instance) const;
+  SocketAddress At(int block, std::size_t number, std::uint16_t port) const;
+  bool IsBalancer(std::size_t instance) const {
+    return instance < m_size.balancers;
+  }
+  void Step();
+  void ProbeReadiness(std::size_t balancer);
+  void WatchForStalls();
+  void Disturb(std::size_t instance);
+  bool IsCalm(std::size_t instance) const;
+  bool IsStoreCalm() const;
+  void PutEntry(std::size_t agent);
+  SocketAddress Route(const FlowTuple& tuple) const;
+  void OnReset(const FlowTuple& tuple, const SocketAddress& sender);
+  void OnOpening(std::size_t agent, const FlowTuple& tuple);
+  void OnRun(std::size_t agent, const SoakPayload& payload);
+  void Fail(const std::string& what);
+
+  Size m_size;
+  int m_network;
+  SteadyClock m_clock;
+  SiteProcesses m_processes;
+  FakeStore m_store;
+  LoopbackProxy m_proxy;
+  std::vector<Instance> m_instances;
+  std::vector<Upstream> m_upstreams;
+  std::unique_ptr<SoakCallers> m_callers;
+  std::vector<SoakCallers::Route> m_routes;
+  std::uint64_t m_configuration = 0;
+  bool m_zone_out = false;
+  TimePoint m_zone_out_since{};
+  TimePoint m_store_disturbed{};
+  std::set<std::size_t> m_store_faults;
+  TimePoint m_last_step{};
+  TimePoint m_last_probe{};
+  std::map<std::uint64_t, std::size_t> m_runs;
+  std::uint64_t m_stalls = 0;
+  std::vector<std::string> m_violations;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_TESTS_SOAK_SOAKSITE_H_
--- /dev/null
+++ b/tests/soak/soakupstream.h
@@ -0,0 +1,81 @@
+#ifndef FIREFLYTRESTLE_TESTS_SOAK_SOAKUPSTREAM_H_
+#define FIREFLYTRESTLE_TESTS_SOAK_SOAKUPSTREAM_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+#include "libbase/clock.h"
+#include "libflow/flowpacket.h"
+#include "libflow/flowtuple.h"
+#include "soak/soakpayload.h"
+
+namespace fireflytrestle {
+
+class UdpSocket;
+
+/// \brief An upstream on a real socket, with slots and a short queue. It
+/// accepts flows, runs each request of a flow once, and hands back what it does
+/// not hold.
+class SoakUpstream {
+ public:
+  struct Observer {
+    std::function<void(const FlowTuple&)> on_opening;
+    std::function<void(const SoakPayload&)> on_run;
+  };
+
+  /// \p number tells the sequence numbers of upstreams apart.
+  SoakUpstream(const SocketAddress& address,
+               const SocketAddress& outbound,
+               std::uint32_t number,
+               Observer observer);
+  ~SoakUpstream();
+
+  bool IsBound() const { return m_socket != nullptr; }
+  void Run(TimePoint now);
+
+  /// The process ends and a new one starts.
+  void Restart();
+
+  /// Whether the caller has confirmed the flow here.
+  bool HoldsOpen(const FlowTuple& tuple) const;
+
+ private:
+  struct Flow {
+    std::uint32_t sequence = 0;
+    bool open = false;
+    /// Request that came last, and its answer once it is ready.
+    std::optional<std::uint32_t> request_sequence;
+    bool answered = false;
+    SoakPayload payload;
+  };
+
+  struct Job {
+    TimePoint done;
+    FlowTuple tuple;
+    std::uint32_t request_sequence = 0;
+  };
+
+  void OnPacket(const FlowPacket& packet,
+                const SoakPayload& payload,
+                TimePoint now);
+  void Work(TimePoint now);
+  void SendAnswer(const FlowTuple& tuple, const Flow& flow);
+  void Send(const FlowPacket& packet, std::span<const std::uint8_t> data = {});
+
+  SocketAddress m_outbound;
+  std::uint32_t m_last_sequence;
+  Observer m_observer;
+  std::unique_ptr<UdpSocket> m_socket;
+  std::unordered_map<FlowTuple, Flow, FlowTupleHash> m_flows;
+  std::deque<std::pair<FlowTuple, std::uint32_t>> m_queue;
+  std::deque<Job> m_running;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_TESTS_SOAK_SOAKUPSTREAM_H_
