Do not reset a SYN that an agent without an answer still has

A copy of a SYN had gone to a second agent, which handed it back; with the retry budget used up, or no agent left, the balancer reset the flow, while the answer of the first agent was on its way to the caller.

Ruled out: silence (no agent was taken for lost).

Change: agents that handed a SYN back are kept apart from those that have it. The flow is reset only once no agent that may answer is left. The new test fails without it.

--- a/src/libflow/flowdirectory.h
+++ b/src/libflow/flowdirectory.h
@@ -14,7 +14,8 @@
 /// \brief What a balancer knows of one flow.
 struct FlowEntry {
   enum class State : std::uint8_t {
-    /// A SYN was sent to \ref owner, and to the agents of \ref asked before.
+    /// A SYN was sent to \ref owner, and before to the agents of \ref asked,
+    /// which have not handed it back.
     kOpening,
     /// \ref owner holds the flow.
     kOpen,
@@ -33,6 +34,8 @@
   std::uint8_t placements = 0;
   AgentPeerPtr owner;
   std::vector<AgentPeerPtr> asked;
+  /// Agents that handed the SYN back.
+  std::vector<AgentPeerPtr> refused;
   TimePoint placed{};
   TimePoint last_packet{};
 };
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -155,21 +155,22 @@
   if (entry->owner) {
     entry->asked.push_back(std::exchange(entry->owner, nullptr));
   }
+  std::vector<AgentPeerPtr> tried = entry->refused;
+  tried.insert(tried.end(), entry->asked.begin(), entry->asked.end());
   const auto route = m_view->routes.find(tuple.route);
   const std::string* service = route == m_view->routes.end()
                                    ? nullptr
                                    : SelectService(route->second, tuple);
   AgentPeerPtr agent;
   if (service != nullptr && entry->placements < kMaxPlacements) {
-    agent = SelectAgent(m_agents.OfService(*service), tuple,
-                        entry->flow_class.long_lived, entry->asked,
-                        m_settings.zone, now);
+    agent =
+        SelectAgent(m_agents.OfService(*service), tuple,
+                    entry->flow_class.long_lived, tried, m_settings.zone, now);
   }
   if (!agent) {
-    const bool tried = entry->placements > 0;
-    Reset(tuple, entry->acknowledgment,
-          tried ? "no_agent_takes_it" : "no_upstream", nullptr, now);
-    m_flows.Erase(tuple);
+    GiveUpPlacing(tuple, entry,
+                  entry->placements > 0 ? "no_agent_takes_it" : "no_upstream",
+                  now);
     return;
   }
   Report(entry->placements == 0 ? Kind::kPlaced : Kind::kPlacedAgain, tuple,
@@ -183,6 +184,23 @@
   Deliver(*entry, agent, false, datagram);
 }
 
+void FlowRouter::GiveUpPlacing(const FlowTuple& tuple,
+                               FlowEntry* entry,
+                               const char* reason,
+                               TimePoint now) {
+  std::erase_if(entry->asked, [](const AgentPeerPtr& agent) {
+    return agent->IsGone() || agent->silent();
+  });
+  if (entry->asked.empty()) {
+    Reset(tuple, entry->acknowledgment, reason, nullptr, now);
+    m_flows.Erase(tuple);
+    return;
+  }
+  // The answer of one that has the SYN may be on its way to the caller.
+  entry->owner = entry->asked.back();
+  entry->asked.pop_back();
+}
+
 void FlowRouter::OnFlowPacket(const FlowPacket& packet,
                               const FlowTuple& tuple,
                               std::span<const std::uint8_t> datagram,
@@ -377,9 +395,9 @@
       entry->syn_sequence != packet->sequence) {
     return;
   }
+  entry->refused.push_back(std::exchange(entry->owner, nullptr));
   if (!m_retry_budget.TryRetry(now)) {
-    Reset(tuple, entry->acknowledgment, "retry_budget", agent.get(), now);
-    m_flows.Erase(tuple);
+    GiveUpPlacing(tuple, entry, "retry_budget", now);
     return;
   }
   Place(tuple, entry, message.packet, now);
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -84,6 +84,12 @@
              FlowEntry* entry,
              std::span<const std::uint8_t> datagram,
              TimePoint now);
+  /// Resets a flow that no further agent gets, unless one that has its SYN may
+  /// still answer.
+  void GiveUpPlacing(const FlowTuple& tuple,
+                     FlowEntry* entry,
+                     const char* reason,
+                     TimePoint now);
   void Search(const FlowPacket& packet,
               const FlowTuple& tuple,
               std::span<const std::uint8_t> datagram,
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -225,6 +225,15 @@
     }
   }
 
+  /// Delivers what \ref delayed has held back.
+  void ReleaseUpstreamPackets() {
+    m_from_upstreams.insert(m_from_upstreams.end(), m_held.begin(),
+                            m_held.end());
+    m_held.clear();
+    delayed = nullptr;
+    Settle();
+  }
+
   /// Delivers all messages under way.
   void Settle() {
     while (!m_wire.empty() || !m_from_upstreams.empty()) {
@@ -236,7 +245,9 @@
       }
       const auto packets = std::exchange(m_from_upstreams, {});
       for (const auto& [agent, packet] : packets) {
-        if (agent->running) {
+        if (agent == delayed) {
+          m_held.emplace_back(agent, packet);
+        } else if (agent->running) {
           std::vector<std::uint8_t> bytes = PlainCodec::Encode(packet);
           agent->keeper->OnUpstreamPacket(bytes, clock.Now());
         }
@@ -341,6 +352,8 @@
   std::vector<SocketAddress> reset_senders;
   std::vector<std::string> decisions;
   std::size_t measurements = 0;
+  /// The agent whose upstream's packets are held back; null for none.
+  const Agent* delayed = nullptr;
   /// Packets of callers that balancers sent to agents.
   std::size_t delivered = 0;
   /// Setting of the balancers that start from now on.
@@ -374,6 +387,7 @@
 
   std::vector<Datagram> m_wire;
   std::vector<std::pair<Agent*, FlowPacket>> m_from_upstreams;
+  std::vector<std::pair<Agent*, FlowPacket>> m_held;
   std::uint64_t m_incarnations = 0;
   std::uint64_t m_revision = 0;
   std::uint64_t m_steps = 0;
--- a/tests/libflow/losstest.cpp
+++ b/tests/libflow/losstest.cpp
@@ -162,4 +162,32 @@
   }
 }
 
+TEST_CASE("a SYN that a slow upstream still has is not reset") {
+  // The first upstream answers later than callers send their first copy, and
+  // the second one hands that copy back.
+  FlowSite site(1, 2);
+  FlowSite::Agent* slow = site.agents[0].get();
+  site.agents[1]->upstream->refuses = true;
+  site.delayed = slow;
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.SendSyn(0, tuple);
+  REQUIRE(slow->upstream->opened.size() == 1);
+  site.Run(milliseconds(200));
+  site.SendSyn(0, tuple);
+  CHECK(site.resets.empty());
+  SUBCASE("its answer opens the flow") {
+    site.ReleaseUpstreamPackets();
+    site.SendRequest(0, tuple);
+    site.Run(milliseconds(100));
+    CHECK(site.AnswersTo(tuple) == 1);
+    CHECK(site.resets.empty());
+  }
+  SUBCASE("it is lost before it answers") {
+    slow->running = false;
+    site.Run(milliseconds(450));
+    site.SendSyn(0, tuple);
+    CHECK(site.ResetsOf(tuple) == 1);
+  }
+}
+
 }  // namespace fireflytrestle
