--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -305,18 +305,25 @@
                                     const FlowEntry& entry,
                                     TimePoint now) {
   const bool trusted = m_judge.IsTrusted(now);
-  const bool all_lost = std::all_of(
+  const auto is_lost = [&](const AgentPeerPtr& agent) {
+    return agent->IsGone() || (trusted && agent->silent());
+  };
+  const bool all_answered = std::all_of(
       entry.asked.begin(), entry.asked.end(), [&](const AgentPeerPtr& agent) {
-        return agent->IsGone() || (trusted && agent->silent());
+        return is_lost(agent) || !agent->heard();
       });
+  if (all_answered && m_ownerless.size() < kTellingFlows) {
+    m_ownerless.insert(tuple);
+  }
+  // Where all others have lost their flows, so has one that does not come back.
+  const bool all_lost =
+      (all_answered && AreAllFlowsLost(now)) ||
+      std::all_of(entry.asked.begin(), entry.asked.end(), is_lost);
   // An order may be running at a silent agent's upstream; a reset gains its
   // caller nothing.
   if (!all_lost || (!entry.asked.empty() && !entry.flow_class.idempotent)) {
     return false;
   }
-  if (m_ownerless.size() < kTellingFlows) {
-    m_ownerless.insert(tuple);
-  }
   if (KnowsAllUpstreams(now)) {
     Reset(tuple, entry.acknowledgment, "no_owner", nullptr, now);
   } else {
@@ -439,14 +446,23 @@
 }
 
 bool FlowRouter::AreAllFlowsLost(TimePoint now) const {
+  return m_ownerless.size() >= kTellingFlows && IsRecovering(now);
+}
+
+bool FlowRouter::IsRecovering(TimePoint now) const {
+  if (now - m_first_view >= kRecoveryTime) {
+    return false;
+  }
   // Flows that opened since the processes came back say nothing.
   const TimePoint before = m_first_view - kIntroductionTime;
-  return m_ownerless.size() >= kTellingFlows &&
-         now - m_first_view < kRecoveryTime &&
-         std::none_of(m_agents.all().begin(), m_agents.all().end(),
-                      [&](const auto& item) {
-                        return item.second->HoldsFlowFrom(before);
-                      });
+  std::size_t heard = 0;
+  for (const auto& [address, agent] : m_agents.all()) {
+    if (agent->HoldsFlowFrom(before)) {
+      return false;
+    }
+    heard += agent->heard() ? 1 : 0;
+  }
+  return 2 * heard >= m_agents.all().size();
 }
 
 void FlowRouter::On(const SocketAddress& source,
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -135,6 +135,9 @@
           TimePoint now);
   /// Whether a flow that no known agent holds may be taken for lost.
   bool KnowsAllUpstreams(TimePoint now) const;
+  /// Whether this process started a moment ago, and no agent that reports holds
+  /// a flow from before: what took this process down took the flows, too.
+  bool IsRecovering(TimePoint now) const;
   /// Whether all upstreams seem to have lost their flows at once.
   bool AreAllFlowsLost(TimePoint now) const;
   void AbandonFlowsOf(const AgentPeerPtr& agent, TimePoint now);
--- a/src/libsite/storefollower.cpp
+++ b/src/libsite/storefollower.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds kLongestRetry{800};
 constexpr int kMostDoublings = 3;
 /// Changes come in bursts; those of this time share the next answer.
-constexpr milliseconds kGather{100};
+constexpr milliseconds kGather{250};
 
 }  // namespace
 
