Move the judgement on lost flows out of the router into a class of its own

Behaviour stays; a search that waits for an agent that falls silent now ends in the same place as every other search.

--- /dev/null
+++ b/src/libflow/flowlossjudge.cpp
@@ -0,0 +1,67 @@
+#include "libflow/flowlossjudge.h"
+
+#include "libflow/agenttable.h"
+#include "libsite/storefollower.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// An older view may lack an upstream that holds flows by now. A store that
+/// answers confirms the view at the end of each watch.
+constexpr milliseconds kViewAge =
+    StoreFollower::kWatchWait + StoreFollower::kAnswerTimeout;
+/// Ownerless flows after which upstreams that hold no old flow are taken to
+/// have lost all flows together: one upstream's share of the flows may be
+/// missed by chance, but not of so many.
+constexpr std::size_t kTellingFlows = 8;
+/// Callers repeat their requests for a few seconds after an outage.
+constexpr milliseconds kRecoveryTime{5000};
+
+}  // namespace
+
+void FlowLossJudge::OnOwnerless(const FlowTuple& tuple) {
+  if (m_ownerless.size() < kTellingFlows) {
+    m_ownerless.insert(tuple);
+  }
+}
+
+bool FlowLossJudge::KnowsAllUpstreams(TimePoint now) const {
+  if (m_first_view == TimePoint{} || now - m_view_confirmed >= kViewAge) {
+    return false;
+  }
+  return now - m_first_view >= kIntroductionTime || AreMostCold(now) ||
+         AreAllFlowsLost(now);
+}
+
+bool FlowLossJudge::AreAllFlowsLost(TimePoint now) const {
+  return m_ownerless.size() >= kTellingFlows && IsRecovering(now);
+}
+
+bool FlowLossJudge::IsRecovering(TimePoint now) const {
+  if (now - m_first_view >= kRecoveryTime) {
+    return false;
+  }
+  // Flows that opened since the processes came back say nothing.
+  const TimePoint before = m_first_view - kIntroductionTime;
+  std::size_t heard = 0;
+  for (const auto& [address, agent] : m_agents.all()) {
+    if (agent->HoldsFlowFrom(before)) {
+      return false;
+    }
+    heard += agent->heard() ? 1 : 0;
+  }
+  return 2 * heard >= m_agents.all().size();
+}
+
+bool FlowLossJudge::AreMostCold(TimePoint now) const {
+  std::size_t cold = 0;
+  for (const auto& [address, agent] : m_agents.all()) {
+    cold += agent->IsCold(now) ? 1 : 0;
+  }
+  return 2 * cold > m_agents.all().size();
+}
+
+}  // namespace fireflytrestle
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -9,7 +9,6 @@
 #include "libflow/flowpacket.h"
 #include "libflow/nodemessagecodec.h"
 #include "libflow/packetcodec.h"
-#include "libsite/storefollower.h"
 
 namespace fireflytrestle {
 
@@ -25,22 +24,9 @@
 /// A copy of a SYN that comes this long after it shows that the first agent
 /// does not answer: callers repeat after 200 ms, an answer takes under 20 ms.
 constexpr milliseconds kUnanswered{120};
-/// An older view may lack an upstream that holds flows by now. A store that
-/// answers confirms the view at the end of each watch.
-constexpr milliseconds kViewAge =
-    StoreFollower::kWatchWait + StoreFollower::kAnswerTimeout;
-/// By then, agents that the store no longer lists have heard of a new balancer
-/// and reported to it.
-constexpr milliseconds kIntroductionTime{1000};
 /// Agents answer the first heartbeat at once; those that have not done so by
 /// then are down.
 constexpr milliseconds kReportPatience{150};
-/// Ownerless flows after which upstreams that hold no old flow are taken to
-/// have lost all flows together: one upstream's share of the flows may be
-/// missed by chance, but not of so many.
-constexpr std::size_t kTellingFlows = 8;
-/// Callers repeat their requests for a few seconds after an outage.
-constexpr milliseconds kRecoveryTime{5000};
 /// Searches of this many seconds may come at once.
 constexpr double kSearchBurst = 0.25;
 /// What a packet for an agent is longer than the caller's: the message around
@@ -72,6 +58,7 @@
       m_output(output),
       m_view(std::make_shared<SiteView>()),
       m_agents(m_settings.agent_port),
+      m_loss(m_agents),
       m_retry_budget(kRetryShare, kRetriesPerSecond, now),
       m_search_bytes(static_cast<double>(m_settings.search_bytes_per_second),
                      static_cast<double>(m_settings.search_bytes_per_second) *
@@ -83,9 +70,9 @@
 void FlowRouter::InstallView(std::shared_ptr<const SiteView> view,
                              TimePoint now) {
   m_view = std::move(view);
-  if (m_first_view == TimePoint{} && m_view->configuration_version != 0 &&
-      !m_view->upstreams.empty()) {
-    m_first_view = now;
+  if (m_loss.first_view() == TimePoint{} &&
+      m_view->configuration_version != 0 && !m_view->upstreams.empty()) {
+    m_loss.OnFirstView(now);
   }
   m_agents.Install(*m_view, now);
   SendHeartbeats(now);
@@ -266,7 +253,7 @@
   }
   // A flow that opened a moment ago may be reset here, and all others that
   // reach this line have no owner.
-  if (AreAllFlowsLost(now)) {
+  if (m_loss.AreAllFlowsLost(now)) {
     Reset(tuple, packet.acknowledgment, "all_flows_lost", nullptr, now);
   }
   m_flows.Erase(tuple);
@@ -312,19 +299,19 @@
       entry.asked.begin(), entry.asked.end(), [&](const AgentPeerPtr& agent) {
         return is_lost(agent) || !agent->heard();
       });
-  if (all_answered && m_ownerless.size() < kTellingFlows) {
-    m_ownerless.insert(tuple);
+  if (all_answered) {
+    m_loss.OnOwnerless(tuple);
   }
   // Where all others have lost their flows, so has one that does not come back.
   const bool all_lost =
-      (all_answered && AreAllFlowsLost(now)) ||
+      (all_answered && m_loss.AreAllFlowsLost(now)) ||
       std::all_of(entry.asked.begin(), entry.asked.end(), is_lost);
   // An order may be running at a silent agent's upstream; a reset gains its
   // caller nothing.
   if (!all_lost || (!entry.asked.empty() && !entry.flow_class.idempotent)) {
     return false;
   }
-  if (KnowsAllUpstreams(now)) {
+  if (m_loss.KnowsAllUpstreams(now)) {
     Reset(tuple, entry.acknowledgment, "no_owner", nullptr, now);
   } else {
     Report(Kind::kDropped, tuple, nullptr, "no_owner_known", now);
@@ -432,39 +419,6 @@
   }
 }
 
-bool FlowRouter::KnowsAllUpstreams(TimePoint now) const {
-  if (m_first_view == TimePoint{} || now - m_view_confirmed >= kViewAge) {
-    return false;
-  }
-  // Where most upstreams have just started there is no old one to be missed.
-  std::size_t cold = 0;
-  for (const auto& [address, agent] : m_agents.all()) {
-    cold += agent->IsCold(now) ? 1 : 0;
-  }
-  return now - m_first_view >= kIntroductionTime ||
-         2 * cold > m_agents.all().size() || AreAllFlowsLost(now);
-}
-
-bool FlowRouter::AreAllFlowsLost(TimePoint now) const {
-  return m_ownerless.size() >= kTellingFlows && IsRecovering(now);
-}
-
-bool FlowRouter::IsRecovering(TimePoint now) const {
-  if (now - m_first_view >= kRecoveryTime) {
-    return false;
-  }
-  // Flows that opened since the processes came back say nothing.
-  const TimePoint before = m_first_view - kIntroductionTime;
-  std::size_t heard = 0;
-  for (const auto& [address, agent] : m_agents.all()) {
-    if (agent->HoldsFlowFrom(before)) {
-      return false;
-    }
-    heard += agent->heard() ? 1 : 0;
-  }
-  return 2 * heard >= m_agents.all().size();
-}
-
 void FlowRouter::On(const SocketAddress& source,
                     const AgentStatus& status,
                     TimePoint now) {
@@ -505,10 +459,10 @@
 }
 
 bool FlowRouter::IsInformed(TimePoint now) const {
-  if (m_first_view == TimePoint{}) {
+  if (m_loss.first_view() == TimePoint{}) {
     return false;
   }
-  return now - m_first_view >= kReportPatience ||
+  return now - m_loss.first_view() >= kReportPatience ||
          std::all_of(m_agents.all().begin(), m_agents.all().end(),
                      [](const auto& item) { return !!item.second->heard(); });
 }
@@ -543,27 +497,29 @@
 
 void FlowRouter::AbandonFlowsOf(const AgentPeerPtr& agent, TimePoint now) {
   std::vector<FlowTuple> abandoned;
-  for (auto& [tuple, entry] : m_flows.flows()) {
+  std::vector<FlowTuple> searched;
+  for (const auto& [tuple, entry] : m_flows.flows()) {
     if (entry.owner == agent && entry.state == State::kOpen &&
         entry.flow_class.idempotent && entry.carried) {
-      Reset(tuple, entry.acknowledgment, "agent_silent", agent.get(), now);
-      abandoned.push_back(tuple);
-    } else if (entry.state == State::kSearching &&
-               Remove(&entry.asked, agent) && entry.asked.empty() &&
-               entry.flow_class.idempotent && KnowsAllUpstreams(now)) {
-      Reset(tuple, entry.acknowledgment, "no_owner", agent.get(), now);
       abandoned.push_back(tuple);
+    } else if (entry.state == State::kSearching) {
+      searched.push_back(tuple);
     }
   }
   for (const FlowTuple& tuple : abandoned) {
+    Reset(tuple, m_flows.Find(tuple)->acknowledgment, "agent_silent",
+          agent.get(), now);
     m_flows.Erase(tuple);
   }
+  for (const FlowTuple& tuple : searched) {
+    EndFruitlessSearch(tuple, *m_flows.Find(tuple), now);
+  }
 }
 
 void FlowRouter::SendHeartbeats(TimePoint now) {
   m_next_heartbeat = now + kHeartbeatInterval;
   std::erase_if(m_new_balancers, [&](const auto& item) {
-    return now - item.second > kIntroductionTime;
+    return now - item.second > FlowLossJudge::kIntroductionTime;
   });
   std::vector<SocketAddress> introduced;
   for (const auto& [address, at] : m_new_balancers) {
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -6,13 +6,13 @@
 #include <memory>
 #include <span>
 #include <string>
-#include <unordered_set>
 
 #include "libbase/retrybudget.h"
 #include "libbase/tokenbucket.h"
 #include "libflow/agenttable.h"
 #include "libflow/flowdecision.h"
 #include "libflow/flowdirectory.h"
+#include "libflow/flowlossjudge.h"
 #include "libflow/silencejudge.h"
 #include "libflow/waitingroom.h"
 
@@ -52,7 +52,7 @@
   void InstallView(std::shared_ptr<const SiteView> view, TimePoint now);
 
   /// The store confirmed the view, as it was at \p at.
-  void ConfirmView(TimePoint at) { m_view_confirmed = at; }
+  void ConfirmView(TimePoint at) { m_loss.ConfirmView(at); }
 
   /// Takes a packet of a caller.
   void OnCallerPacket(std::span<const std::uint8_t> datagram, TimePoint now);
@@ -133,13 +133,6 @@
   void On(const SocketAddress& source,
           const FlowUnknownMessage& message,
           TimePoint now);
-  /// Whether a flow that no known agent holds may be taken for lost.
-  bool KnowsAllUpstreams(TimePoint now) const;
-  /// Whether this process started a moment ago, and no agent that reports holds
-  /// a flow from before: what took this process down took the flows, too.
-  bool IsRecovering(TimePoint now) const;
-  /// Whether all upstreams seem to have lost their flows at once.
-  bool AreAllFlowsLost(TimePoint now) const;
   void AbandonFlowsOf(const AgentPeerPtr& agent, TimePoint now);
   void SendHeartbeats(TimePoint now);
   /// Whether packets can be decided on: the view and the first reports of the
@@ -151,18 +144,14 @@
   const PacketCodec& m_codec;
   FlowOutput* m_output;
   std::shared_ptr<const SiteView> m_view;
-  TimePoint m_view_confirmed{};
-  /// When the first view was installed; the epoch before.
-  TimePoint m_first_view{};
   /// Balancers that agents introduced, and when they last did.
   std::map<SocketAddress, TimePoint> m_new_balancers;
   AgentTable m_agents;
+  FlowLossJudge m_loss;
   FlowDirectory m_flows;
   SilenceJudge m_judge;
   WaitingRoom m_waiting_room;
   bool m_informed = false;
-  /// Flows without an owner, up to a telling number.
-  std::unordered_set<FlowTuple, FlowTupleHash> m_ownerless;
   RetryBudget m_retry_budget;
   TokenBucket m_search_bytes;
   TimePoint m_next_heartbeat;
