Let two balancers read the upstreams' entries and tell the others

Cause: every balancer watched the whole store.

Change: entries of upstreams are read by the two balancers with the lowest incarnations, which send the changes, each with the revisions that it follows, to all others in datagrams. Beats every 500 ms name the sender's revision; a receiver that missed something reads it itself, and one that hears of no reader for 1.2 s becomes one. The operators' items stay with each balancer's own watch, as configurations do not fit a datagram and their bounds are tight. Balancers learn of each other through the agents.

Ruled out: the product's mesh, whose lease stops traffic without a confirmed view (docs/platform.md, 7).

--- a/src/flowbalancer/flowbalancerprocess.cpp
+++ b/src/flowbalancer/flowbalancerprocess.cpp
@@ -36,7 +36,15 @@
       m_clock(clock),
       m_logger(logger),
       m_report(logger),
+      m_incarnation{DrawSeed()},
       m_reader(platform.prefixes,
+               {platform.shared_prefix, m_incarnation,
+                [this](const std::vector<SocketAddress>& peers,
+                       const SharedChanges& changes) {
+                  m_thread.Post([this, peers, changes] {
+                    m_worker->SendToPeers(peers, changes);
+                  });
+                }},
                platform.store,
                *platform.decoder,
                clock,
@@ -63,7 +71,7 @@
   BOOST_LEAF_AUTO(node,
                   UdpSocket::Bind(m_settings.node.node_address, send_buffer));
   FlowRouter::Settings router;
-  router.incarnation = Incarnation{DrawSeed()};
+  router.incarnation = m_incarnation;
   router.zone = m_settings.node.zone;
   router.agent_port = m_settings.frontend_address.port;
   router.flow_lifetime = m_settings.node.flow_lifetime;
@@ -72,7 +80,15 @@
   m_thread.Run([&] {
     m_worker = std::make_unique<FlowBalancerWorker>(
         std::move(router), std::move(frontend), std::move(node),
-        *m_platform.codec, m_clock, &m_report, &m_gauges);
+        *m_platform.codec, m_clock, &m_report, &m_gauges,
+        FlowBalancerWorker::PeerHandlers{
+            [this](const SocketAddress& peer) {
+              m_tasks.Post([this, peer] { m_reader.OnIntroduced(peer); });
+            },
+            [this](const SocketAddress& peer, const SharedChanges& changes) {
+              m_tasks.Post(
+                  [this, peer, changes] { m_reader.OnShared(peer, changes); });
+            }});
   });
   m_reader.Start();
   BOOST_LEAF_ASSIGN(m_admin, AdminEndpoint::Open(m_settings.node.admin_address,
--- a/src/flowbalancer/flowbalancerprocess.h
+++ b/src/flowbalancer/flowbalancerprocess.h
@@ -12,6 +12,7 @@
 #include "libnet/flowreport.h"
 #include "libnet/stopsignals.h"
 #include "libnet/storereader.h"
+#include "libnet/taskqueue.h"
 #include "libnet/workerthread.h"
 
 namespace fireflytrestle {
@@ -29,8 +30,10 @@
     StoreClient* store = nullptr;
     const RecordDecoder* decoder = nullptr;
     const PacketCodec* codec = nullptr;
-    /// Parts of the store to follow.
+    /// Parts of the store to follow, and the one of them that a few balancers
+    /// read for all.
     std::vector<std::string> prefixes;
+    std::string shared_prefix;
   };
 
   /// All references must outlive the process.
@@ -56,8 +59,10 @@
   Logger* m_logger;
   FlowReport m_report;
   FlowBalancerWorker::Gauges m_gauges;
+  TaskQueue m_tasks;
   WorkerThread m_thread;
   std::unique_ptr<FlowBalancerWorker> m_worker;
+  Incarnation m_incarnation;
   StoreReader m_reader;
   std::unique_ptr<AdminEndpoint> m_admin;
   bool m_stopping = false;
--- a/src/flowbalancer/flowbalancerworker.cpp
+++ b/src/flowbalancer/flowbalancerworker.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds kTickInterval{50};
 /// Batches of one socket before the other one gets its turn.
 constexpr int kBatchesPerTurn = 16;
+/// All agents name a new balancer in each report for some seconds.
+constexpr std::chrono::milliseconds kIntroductionInterval{1000};
 
 }  // namespace
 
@@ -21,11 +23,13 @@
                                        const PacketCodec& codec,
                                        const Clock& clock,
                                        FlowReport* report,
-                                       Gauges* gauges)
+                                       Gauges* gauges,
+                                       PeerHandlers handlers)
     : m_frontend(std::move(frontend)),
       m_node(std::move(node)),
       m_clock(clock),
       m_gauges(gauges),
+      m_handlers(std::move(handlers)),
       m_output(m_node.get(),
                nullptr,
                {m_frontend->address().port, {}},
@@ -73,7 +77,7 @@
   const UdpSocket::Handler handler =
       [&](const SocketAddress& source, std::span<const std::uint8_t> datagram) {
         if (const auto message = DecodeNodeMessage(datagram)) {
-          m_router.OnNodeMessage(source, *message, now);
+          OnNodeMessage(source, *message, now);
         }
       };
   std::size_t received = UdpSocket::kBatch;
@@ -84,6 +88,33 @@
   }
 }
 
+void FlowBalancerWorker::OnNodeMessage(const SocketAddress& source,
+                                       const NodeMessage& message,
+                                       TimePoint now) {
+  if (const auto* changes = std::get_if<SharedChanges>(&message)) {
+    m_handlers.shared(source, *changes);
+    return;
+  }
+  if (const auto* status = std::get_if<AgentStatus>(&message)) {
+    for (const SocketAddress& peer : status->new_balancers) {
+      TimePoint& told = m_introduced[peer];
+      if (now - told >= kIntroductionInterval) {
+        told = now;
+        m_handlers.introduced(peer);
+      }
+    }
+  }
+  m_router.OnNodeMessage(source, message, now);
+}
+
+void FlowBalancerWorker::SendToPeers(const std::vector<SocketAddress>& peers,
+                                     const SharedChanges& changes) {
+  for (const SocketAddress& peer : peers) {
+    m_output.SendToNode(peer, changes);
+  }
+  m_output.Flush();
+}
+
 void FlowBalancerWorker::Tick() {
   // Reports that wait in the socket come before the judgement on silence.
   OnNode();
--- a/src/flowbalancer/flowbalancerworker.h
+++ b/src/flowbalancer/flowbalancerworker.h
@@ -4,6 +4,8 @@
 #include <QSocketNotifier>
 #include <QTimer>
 #include <atomic>
+#include <functional>
+#include <map>
 #include <memory>
 
 #include "libflow/flowrouter.h"
@@ -29,6 +31,12 @@
     std::atomic<std::int64_t> last_caller_packet_ms{0};
   };
 
+  /// What other balancers and agents say of the store; called on this thread.
+  struct PeerHandlers {
+    std::function<void(const SocketAddress& peer)> introduced;
+    std::function<void(const SocketAddress& peer, const SharedChanges&)> shared;
+  };
+
   /// All references must outlive the worker.
   FlowBalancerWorker(FlowRouter::Settings settings,
                      std::unique_ptr<UdpSocket> frontend,
@@ -36,20 +44,29 @@
                      const PacketCodec& codec,
                      const Clock& clock,
                      FlowReport* report,
-                     Gauges* gauges);
+                     Gauges* gauges,
+                     PeerHandlers handlers);
 
   void InstallView(std::shared_ptr<const SiteView> view);
   void ConfirmView(TimePoint at) { m_router.ConfirmView(at); }
+  void SendToPeers(const std::vector<SocketAddress>& peers,
+                   const SharedChanges& changes);
 
  private:
   void OnFrontend();
   void OnNode();
+  void OnNodeMessage(const SocketAddress& source,
+                     const NodeMessage& message,
+                     TimePoint now);
   void Tick();
 
   std::unique_ptr<UdpSocket> m_frontend;
   std::unique_ptr<UdpSocket> m_node;
   const Clock& m_clock;
   Gauges* m_gauges;
+  PeerHandlers m_handlers;
+  /// Balancers that agents named, and when that was last passed on.
+  std::map<SocketAddress, TimePoint> m_introduced;
   FlowSockets m_output;
   FlowRouter m_router;
   QSocketNotifier m_frontend_notifier;
--- a/src/flowbalancer/main.cpp
+++ b/src/flowbalancer/main.cpp
@@ -30,7 +30,13 @@
     const SiteFormat decoder;
     const PacketLayout codec;
     FlowBalancerProcess process(
-        settings, {&store, &decoder, &codec, {std::string()}}, clock, &logger);
+        settings,
+        {&store,
+         &decoder,
+         &codec,
+         {SiteFormat::kOperatorPrefix, SiteFormat::kUpstreamPrefix},
+         SiteFormat::kUpstreamPrefix},
+        clock, &logger);
     BOOST_LEAF_CHECK(process.Start());
     QCoreApplication::exec();
     return {};
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -12,11 +12,12 @@
 #include "libbase/socketaddress.h"
 #include "libflow/flowclass.h"
 #include "libflow/flowtuple.h"
+#include "libsite/sharedchanges.h"
 
 namespace fireflytrestle {
 
-// Datagrams between balancers and agents that carry flows without an identity,
-// one msgpack array each. Views point into the datagram.
+// Datagrams between the processes that carry flows without an identity, one
+// msgpack array each. Views point into the datagram.
 
 /// Balancer to agent: a caller's packet for the upstream.
 struct DeliverMessage {
@@ -122,7 +123,8 @@
                                  ReturnMessage,
                                  FlowUnknownMessage,
                                  BalancerHeartbeat,
-                                 AgentStatus>;
+                                 AgentStatus,
+                                 SharedChanges>;
 
 }  // namespace fireflytrestle
 
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -16,6 +16,7 @@
   kFlowUnknown,
   kBalancerHeartbeat,
   kAgentStatus,
+  kSharedChanges,
   kCount,
 };
 
@@ -26,8 +27,13 @@
 constexpr std::uint32_t kStatusFields = 10;
 constexpr std::uint32_t kFlowFields = 5;
 constexpr std::uint32_t kAddressFields = 2;
+constexpr std::uint32_t kSharedChangesFields = 6;
+constexpr std::uint32_t kItemFields = 3;
 /// Longer names of services and zones are refused.
 constexpr std::size_t kMaxNameBytes = 200;
+/// A datagram holds no more items, and none that is larger.
+constexpr std::uint32_t kMaxItems = 100;
+constexpr std::size_t kMaxItemBytes = 1500;
 constexpr std::uint64_t kMax16 = std::numeric_limits<std::uint16_t>::max();
 constexpr std::uint64_t kMax32 = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t kMax64 = std::numeric_limits<std::uint64_t>::max();
@@ -154,6 +160,25 @@
   WriteAddresses(writer, message.new_balancers);
 }
 
+void Write(MsgpackWriter* writer, const SharedChanges& message) {
+  WriteHead(writer, Kind::kSharedChanges, kSharedChangesFields);
+  writer->WriteUint(static_cast<std::uint64_t>(message.sender));
+  writer->WriteBool(message.reads_store);
+  writer->WriteUint(static_cast<std::uint64_t>(message.after));
+  writer->WriteUint(static_cast<std::uint64_t>(message.as_of));
+  writer->WriteArray(static_cast<std::uint32_t>(message.items.size()));
+  for (const StoreItem& item : message.items) {
+    writer->WriteArray(kItemFields);
+    WriteName(writer, item.key);
+    writer->WriteUint(static_cast<std::uint64_t>(item.revision));
+    if (item.value) {
+      WriteName(writer, *item.value);
+    } else {
+      writer->WriteNil();
+    }
+  }
+}
+
 DeliverMessage ReadDeliver(MsgpackReader* reader) {
   DeliverMessage message;
   message.service = ReadName(reader);
@@ -221,6 +246,34 @@
   return message;
 }
 
+std::string ReadText(MsgpackReader* reader) {
+  const std::span<const std::uint8_t> bytes = reader->ReadBinary(kMaxItemBytes);
+  return {bytes.begin(), bytes.end()};
+}
+
+SharedChanges ReadSharedChanges(MsgpackReader* reader) {
+  SharedChanges message;
+  reader->Read(&message.sender, 0, kMax64);
+  message.reads_store = reader->ReadBool();
+  reader->Read(&message.after, 0, kMax64);
+  reader->Read(&message.as_of, 0, kMax64);
+  const std::uint32_t count = reader->ReadArray();
+  if (count > kMaxItems) {
+    reader->Fail(WireError::kOutOfRange);
+    return message;
+  }
+  for (std::uint32_t i = 0; i < count && reader->ok(); ++i) {
+    StoreItem& item = message.items.emplace_back();
+    reader->ReadArrayOf(kItemFields);
+    item.key = ReadText(reader);
+    reader->Read(&item.revision, 0, kMax64);
+    if (!reader->TryReadNil()) {
+      item.value = ReadText(reader);
+    }
+  }
+  return message;
+}
+
 struct Shape {
   std::uint32_t fields;
   NodeMessage (*read)(MsgpackReader*);
@@ -237,6 +290,7 @@
     {kFlowUnknownFields, ReadAs<ReadFlowUnknown>},
     {kHeartbeatFields, ReadAs<ReadHeartbeat>},
     {kStatusFields, ReadAs<ReadStatus>},
+    {kSharedChangesFields, ReadAs<ReadSharedChanges>},
 };
 
 }  // namespace
--- a/src/libnet/storereader.cpp
+++ b/src/libnet/storereader.cpp
@@ -42,6 +42,7 @@
 }  // namespace
 
 StoreReader::StoreReader(const std::vector<std::string>& prefixes,
+                         Sharing sharing,
                          StoreClient* client,
                          const RecordDecoder& decoder,
                          const Clock& clock,
@@ -52,11 +53,17 @@
       m_logger(logger),
       m_callbacks(std::move(callbacks)),
       m_random(DrawSeed()),
-      m_state(decoder,
-              [this](const SiteChange& change) { LogChange(change); }) {
+      m_state(decoder, [this](const SiteChange& change) { LogChange(change); }),
+      m_sharing(std::move(sharing)),
+      m_relay(m_sharing.self) {
   for (const std::string& prefix : prefixes) {
-    m_followers.push_back(
-        std::make_unique<StoreFollower>(prefix, &m_state, &m_random));
+    const bool shared = m_sharing.send && prefix == m_sharing.prefix;
+    m_followers.push_back(std::make_unique<StoreFollower>(
+        prefix, &m_state, &m_random,
+        shared ? StoreFollower::kSharingWatchWait : StoreFollower::kWatchWait));
+    if (shared) {
+      m_shared = m_followers.back().get();
+    }
   }
 }
 
@@ -70,11 +77,60 @@
   if (m_state.Expire(m_clock.Now())) {
     m_callbacks.changed(m_state.View());
   }
+  if (m_shared != nullptr) {
+    Share();
+  }
   for (const auto& follower : m_followers) {
     Read(follower.get());
   }
 }
 
+void StoreReader::Share() {
+  const TimePoint now = m_clock.Now();
+  const bool passive = !m_relay.MustRead(now);
+  if (passive != m_shared->passive()) {
+    m_logger->Write(LogLevel::kInfo,
+                    passive ? "store_told_by_others" : "store_read_here",
+                    passive ? "other processes read this part of the store"
+                            : "too few other processes read this part",
+                    {{LogKey::kSource, m_shared->prefix()}});
+  }
+  m_shared->set_passive(passive);
+  if (m_relay.TakeBeat(now)) {
+    const Revision position = m_shared->position();
+    m_sharing.send(
+        m_relay.Peers(now),
+        {m_sharing.self, m_shared->ReadsStore(now), position, position, {}});
+  }
+}
+
+void StoreReader::OnIntroduced(const SocketAddress& peer) {
+  m_relay.OnIntroduced(peer, m_clock.Now());
+}
+
+void StoreReader::OnShared(const SocketAddress& peer,
+                           const SharedChanges& changes) {
+  if (m_shared == nullptr) {
+    return;
+  }
+  const TimePoint now = m_clock.Now();
+  m_relay.OnHeard(peer, changes, now);
+  if (m_shared->OnShared(changes, now)) {
+    m_callbacks.changed(m_state.View());
+  }
+  Confirm();
+  Read(m_shared);
+}
+
+void StoreReader::SendChanges(Revision after, const StoreAnswer& answer) {
+  const std::vector<SocketAddress> peers = m_relay.Peers(m_clock.Now());
+  for (SharedChanges& changes :
+       ChangeRelay::Divide(after, m_shared->position(), answer.items)) {
+    changes.sender = m_sharing.self;
+    m_sharing.send(peers, changes);
+  }
+}
+
 void StoreReader::Read(StoreFollower* follower) {
   const StoreFollower::Read read = follower->OnTick(m_clock.Now());
   auto handler = [this, follower,
@@ -98,7 +154,13 @@
 void StoreReader::OnAnswer(StoreFollower* follower,
                            std::uint64_t number,
                            const StoreAnswer& answer) {
+  const Revision before = follower->position();
+  const bool watched = follower->listed();
   const bool changed = follower->OnAnswer(number, answer, m_clock.Now());
+  if (follower == m_shared && watched && !follower->passive() &&
+      !answer.items.empty()) {
+    SendChanges(before, answer);
+  }
   if (!answer.problem.empty()) {
     ++m_failures;
     m_logger->Write(LogLevel::kWarning, "store_read_failed",
@@ -120,7 +182,15 @@
   if (changed) {
     m_callbacks.changed(m_state.View());
   }
-  if (reached) {
+  Confirm();
+  Read(follower);
+}
+
+void StoreReader::Confirm() {
+  const bool known =
+      std::all_of(m_followers.begin(), m_followers.end(),
+                  [](const auto& each) { return each->reached(); });
+  if (known) {
     const auto oldest =
         std::min_element(m_followers.begin(), m_followers.end(),
                          [](const auto& a, const auto& b) {
@@ -128,7 +198,6 @@
                          });
     m_callbacks.confirmed((*oldest)->last_contact());
   }
-  Read(follower);
 }
 
 void StoreReader::LogChange(const SiteChange& change) {
--- a/src/libnet/storereader.h
+++ b/src/libnet/storereader.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "libbase/seededrandom.h"
+#include "libsite/changerelay.h"
 #include "libsite/sitestate.h"
 #include "libsite/storefollower.h"
 
@@ -30,8 +31,18 @@
     std::function<void(TimePoint)> confirmed;
   };
 
+  /// How one part of the store is shared with other processes.
+  struct Sharing {
+    std::string prefix;
+    Incarnation self{};
+    std::function<void(const std::vector<SocketAddress>& peers,
+                       const SharedChanges& changes)>
+        send;
+  };
+
   /// All references must outlive the reader.
   StoreReader(const std::vector<std::string>& prefixes,
+              Sharing sharing,
               StoreClient* client,
               const RecordDecoder& decoder,
               const Clock& clock,
@@ -40,6 +51,10 @@
 
   void Start();
 
+  /// Another process that follows the store was named.
+  void OnIntroduced(const SocketAddress& peer);
+  void OnShared(const SocketAddress& peer, const SharedChanges& changes);
+
   bool has_configuration() const { return m_state.has_configuration(); }
   void WriteMetrics(MetricsWriter* metrics) const;
 
@@ -50,6 +65,10 @@
                 std::uint64_t number,
                 const StoreAnswer& answer);
   void LogChange(const SiteChange& change);
+  /// Decides who reads the shared part, and tells the others.
+  void Share();
+  void SendChanges(Revision after, const StoreAnswer& answer);
+  void Confirm();
 
   StoreClient* m_client;
   const Clock& m_clock;
@@ -58,6 +77,10 @@
   SeededRandom m_random;
   SiteState m_state;
   std::vector<std::unique_ptr<StoreFollower>> m_followers;
+  Sharing m_sharing;
+  ChangeRelay m_relay;
+  /// Follows the shared part; null if none is shared.
+  StoreFollower* m_shared = nullptr;
   std::uint64_t m_reads = 0;
   std::uint64_t m_failures = 0;
   bool m_reached = false;
--- /dev/null
+++ b/src/libsite/changerelay.cpp
@@ -0,0 +1,101 @@
+#include "libsite/changerelay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fireflytrestle {
+
+namespace {
+
+/// A silent process still gets beats for this long: it may be cut off, or about
+/// to restart.
+constexpr std::chrono::seconds kForgetAfter{30};
+/// Keys and values of one message; headers and the encoding take the rest of a
+/// datagram of 1,400 bytes.
+constexpr std::size_t kMaxItemBytes = 1100;
+constexpr std::size_t kItemOverheadBytes = 24;
+
+std::size_t SizeOf(const StoreItem& item) {
+  return item.key.size() + (item.value ? item.value->size() : 0) +
+         kItemOverheadBytes;
+}
+
+}  // namespace
+
+void ChangeRelay::OnIntroduced(const SocketAddress& peer, TimePoint now) {
+  m_peers[peer].introduced = now;
+}
+
+void ChangeRelay::OnHeard(const SocketAddress& peer,
+                          const SharedChanges& changes,
+                          TimePoint now) {
+  Peer& known = m_peers[peer];
+  known.heard = now;
+  known.incarnation = changes.sender;
+  known.reads_store = changes.reads_store;
+}
+
+bool ChangeRelay::MustRead(TimePoint now) {
+  std::size_t readers_before = 0;
+  for (const auto& [address, peer] : m_peers) {
+    const bool reads = peer.reads_store && now - peer.heard < kBeatValid;
+    readers_before += reads && peer.incarnation < m_self ? 1 : 0;
+  }
+  // One reader that is lost must not make all others read for a moment.
+  m_reading = m_reading ? readers_before < kReaders : readers_before == 0;
+  return m_reading;
+}
+
+std::vector<SocketAddress> ChangeRelay::Peers(TimePoint now) {
+  std::erase_if(m_peers, [&](const auto& item) {
+    return now - std::max(item.second.heard, item.second.introduced) >
+           kForgetAfter;
+  });
+  std::vector<SocketAddress> peers;
+  for (const auto& [address, peer] : m_peers) {
+    peers.push_back(address);
+  }
+  return peers;
+}
+
+bool ChangeRelay::TakeBeat(TimePoint now) {
+  if (now < m_next_beat) {
+    return false;
+  }
+  m_next_beat = now + kBeatInterval;
+  return true;
+}
+
+std::vector<SharedChanges> ChangeRelay::Divide(Revision after,
+                                               Revision as_of,
+                                               std::vector<StoreItem> items) {
+  std::sort(items.begin(), items.end(),
+            [](const StoreItem& a, const StoreItem& b) {
+              return a.revision < b.revision;
+            });
+  std::vector<SharedChanges> messages(1);
+  messages.back().reads_store = true;
+  messages.back().after = after;
+  std::size_t bytes = 0;
+  for (StoreItem& item : items) {
+    const std::size_t size = SizeOf(item);
+    if (size > kMaxItemBytes) {
+      return messages;
+    }
+    if (bytes + size > kMaxItemBytes) {
+      const Revision reached = messages.back().as_of;
+      messages.emplace_back();
+      messages.back().reads_store = true;
+      messages.back().after = reached;
+      messages.back().as_of = reached;
+      bytes = 0;
+    }
+    bytes += size;
+    messages.back().as_of = item.revision;
+    messages.back().items.push_back(std::move(item));
+  }
+  messages.back().as_of = std::max(messages.back().as_of, as_of);
+  return messages;
+}
+
+}  // namespace fireflytrestle
--- a/src/libsite/storefollower.cpp
+++ b/src/libsite/storefollower.cpp
@@ -24,11 +24,16 @@
 
 StoreFollower::StoreFollower(std::string prefix,
                              SiteState* state,
-                             RandomSource* random)
-    : m_prefix(std::move(prefix)), m_state(state), m_random(random) {}
+                             RandomSource* random,
+                             milliseconds watch_wait)
+    : m_prefix(std::move(prefix)),
+      m_state(state),
+      m_random(random),
+      m_watch_wait(watch_wait) {}
 
 StoreFollower::Read StoreFollower::OnTick(TimePoint now) {
-  if (m_waiting || now < m_next) {
+  const bool told_by_others = m_passive && m_listed && !m_gap;
+  if (m_waiting || now < m_next || told_by_others) {
     return {};
   }
   m_waiting = true;
@@ -43,7 +48,8 @@
   read.after = m_position;
   // After a failure the first answer must come at once, to tell that the store
   // serves again.
-  read.wait = m_failures > 0 ? milliseconds(0) : kWatchWait;
+  const bool at_once = m_failures > 0 || m_passive;
+  read.wait = at_once ? milliseconds(0) : m_watch_wait;
   return read;
 }
 
@@ -67,7 +73,9 @@
       break;
   }
   m_failures = 0;
+  m_gap = false;
   m_last_contact = now;
+  m_last_read = now;
   return m_listed ? OnEvents(answer, now) : OnPage(answer, now);
 }
 
@@ -103,6 +111,31 @@
   return changed;
 }
 
+bool StoreFollower::ReadsStore(TimePoint now) const {
+  return !m_passive && reached() &&
+         now - m_last_read <= kSharingWatchWait + kAnswerTimeout;
+}
+
+bool StoreFollower::OnShared(const SharedChanges& changes, TimePoint now) {
+  bool changed = false;
+  // Each item counts by its own revision, also if changes before it are
+  // missing.
+  for (const StoreItem& item : changes.items) {
+    if (item.key.starts_with(m_prefix)) {
+      changed |= m_state->Apply(item, now);
+    }
+  }
+  if (!m_listed || !changes.reads_store) {
+    return changed;
+  }
+  m_gap = changes.after > m_position;
+  if (!m_gap) {
+    m_position = std::max(m_position, changes.as_of);
+    m_last_contact = now;
+  }
+  return changed;
+}
+
 void StoreFollower::OnFailure(TimePoint now) {
   ++m_failures;
   const int doublings = std::min(m_failures - 1, kMostDoublings);
--- a/src/libsite/storefollower.h
+++ b/src/libsite/storefollower.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "libbase/clock.h"
+#include "libsite/sharedchanges.h"
 #include "libsite/storeanswer.h"
 
 namespace fireflytrestle {
@@ -35,10 +36,17 @@
   /// How long a watch waits. A connection that went silent is noticed only at
   /// its end, and an instance counts as undisturbed again 4 s after that.
   static constexpr std::chrono::milliseconds kWatchWait{3000};
+  /// The same for a process that tells others of the changes: they notice a
+  /// silent reader as fast as it does.
+  static constexpr std::chrono::milliseconds kSharingWatchWait{1000};
   /// A read that is not answered this long after its wait has failed.
   static constexpr std::chrono::milliseconds kAnswerTimeout{800};
 
-  StoreFollower(std::string prefix, SiteState* state, RandomSource* random);
+  /// \p watch_wait is how long a watch waits for changes.
+  StoreFollower(std::string prefix,
+                SiteState* state,
+                RandomSource* random,
+                std::chrono::milliseconds watch_wait = kWatchWait);
 
   /// Returns the next read if one is due.
   Read OnTick(TimePoint now);
@@ -46,8 +54,24 @@
   /// Takes the answer to a read. Returns whether the site's view changed.
   bool OnAnswer(std::uint64_t number, const StoreAnswer& answer, TimePoint now);
 
+  /// Takes changes that another process read. Returns whether the site's view
+  /// changed.
+  bool OnShared(const SharedChanges& changes, TimePoint now);
+
+  /// Whether to rely on other processes for changes and read only what they
+  /// missed. The first list is read in any case.
+  void set_passive(bool passive) { m_passive = passive; }
+  bool passive() const { return m_passive; }
+  /// Whether this process reads the store and got an answer lately.
+  bool ReadsStore(TimePoint now) const;
+
+  /// Changes up to here are known.
+  Revision position() const { return m_position; }
+  bool listed() const { return m_listed; }
+
   const std::string& prefix() const { return m_prefix; }
-  /// When a read last succeeded; the epoch before the first time.
+  /// When the store or another process last told of changes or that there are
+  /// none; the epoch before the first time.
   TimePoint last_contact() const { return m_last_contact; }
   bool reached() const { return m_failures == 0 && m_listed; }
 
@@ -59,11 +83,16 @@
   std::string m_prefix;
   SiteState* m_state;
   RandomSource* m_random;
+  std::chrono::milliseconds m_watch_wait;
   bool m_listed = false;
   bool m_waiting = false;
+  bool m_passive = false;
+  /// Others know of changes that did not arrive here.
+  bool m_gap = false;
   std::uint64_t m_number = 0;
   TimePoint m_next{};
   TimePoint m_last_contact{};
+  TimePoint m_last_read{};
   int m_failures = 0;
   /// Watch from here.
   Revision m_position{};
--- /dev/null
+++ b/tests/libsite/changerelaytest.cpp
@@ -0,0 +1,277 @@
+#include "libsite/changerelay.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "libbase/manualclock.h"
+#include "libbase/seededrandom.h"
+#include "libsite/recorddecoder.h"
+#include "libsite/sitestate.h"
+#include "libsite/siteview.h"
+#include "libsite/storefollower.h"
+
+namespace fireflytrestle {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// \brief Items "up/N", each an upstream with the address in its value.
+class TestDecoder : public RecordDecoder {
+ public:
+  boost::leaf::result<SiteRecord> Decode(
+      const std::string& key,
+      std::string_view value) const override {
+    UpstreamEntry entry;
+    entry.id = key;
+    entry.address = {static_cast<std::uint32_t>(std::stoul(std::string(value))),
+                     1};
+    return SiteRecord(entry);
+  }
+};
+
+/// \brief Several processes that follow one store on a paused clock and tell
+/// each other of its changes.
+class Fleet {
+ public:
+  explicit Fleet(std::size_t size) {
+    for (std::size_t i = 0; i < size; ++i) {
+      Start(i);
+    }
+    Run(milliseconds(3000));
+  }
+
+  void Start(std::size_t index) {
+    processes[index] = std::make_unique<Process>(m_decoder, ++m_incarnations);
+    for (auto& [other, process] : processes) {
+      process->relay.OnIntroduced(AddressOf(index), clock.Now());
+      processes[index]->relay.OnIntroduced(AddressOf(other), clock.Now());
+    }
+  }
+
+  void Put(const std::string& key, const std::string& value) {
+    m_items[key] = {key, value, Revision{++m_revision}};
+  }
+
+  void Run(Duration time) {
+    constexpr milliseconds kStep{50};
+    for (Duration passed{}; passed < time; passed += kStep) {
+      clock.Advance(kStep);
+      for (auto& [index, process] : processes) {
+        Tick(index, process.get());
+      }
+    }
+  }
+
+  /// Processes that read in the next \p time.
+  std::set<std::size_t> Readers(Duration time) {
+    reads.clear();
+    Run(time);
+    std::set<std::size_t> readers;
+    for (const auto& [index, count] : reads) {
+      readers.insert(index);
+    }
+    return readers;
+  }
+
+  bool Knows(std::size_t index, std::uint32_t address) {
+    return processes[index]->state.View()->upstreams.contains(address);
+  }
+
+  struct Process {
+    Process(const RecordDecoder& decoder, std::uint64_t incarnation)
+        : state(decoder, [](const SiteChange&) {}),
+          relay(Incarnation{incarnation}),
+          self{incarnation} {}
+    SiteState state;
+    SeededRandom random{1};
+    StoreFollower follower{"up/", &state, &random,
+                           StoreFollower::kSharingWatchWait};
+    ChangeRelay relay;
+    Incarnation self;
+    std::optional<StoreFollower::Read> waiting;
+    TimePoint waits_until{};
+  };
+
+  ManualClock clock;
+  std::map<std::size_t, std::unique_ptr<Process>> processes;
+  std::map<std::size_t, std::size_t> reads;
+  /// Processes that the store turns away.
+  std::set<std::size_t> refused;
+  /// Processes that hear nothing from others.
+  std::set<std::size_t> deaf;
+
+ private:
+  static SocketAddress AddressOf(std::size_t index) {
+    return {static_cast<std::uint32_t>(index + 1), 1};
+  }
+
+  void Tick(std::size_t index, Process* process) {
+    const TimePoint now = clock.Now();
+    process->follower.set_passive(!process->relay.MustRead(now));
+    if (process->relay.TakeBeat(now)) {
+      const Revision position = process->follower.position();
+      Tell(index, {process->self,
+                   process->follower.ReadsStore(now),
+                   position,
+                   position,
+                   {}});
+    }
+    if (!process->waiting) {
+      const StoreFollower::Read read = process->follower.OnTick(now);
+      if (read.kind != StoreFollower::Read::Kind::kNone) {
+        ++reads[index];
+        process->waiting = read;
+        process->waits_until = now + read.wait;
+      }
+    }
+    if (process->waiting) {
+      Answer(index, process);
+    }
+  }
+
+  void Answer(std::size_t index, Process* process) {
+    const StoreFollower::Read read = *process->waiting;
+    const bool watch = read.kind == StoreFollower::Read::Kind::kWatch;
+    StoreAnswer answer;
+    if (refused.contains(index)) {
+      answer.problem = "refused";
+    } else {
+      answer.outcome = StoreAnswer::Outcome::kItems;
+      answer.as_of = Revision{m_revision};
+      for (const auto& [key, item] : m_items) {
+        if (!watch || item.revision > read.after) {
+          answer.items.push_back(item);
+        }
+      }
+      if (watch && answer.items.empty() && clock.Now() < process->waits_until) {
+        return;
+      }
+    }
+    process->waiting.reset();
+    const Revision before = process->follower.position();
+    process->follower.OnAnswer(read.number, answer, clock.Now());
+    if (watch && !answer.items.empty() && !process->follower.passive()) {
+      for (SharedChanges& changes : ChangeRelay::Divide(
+               before, process->follower.position(), answer.items)) {
+        changes.sender = process->self;
+        Tell(index, changes);
+      }
+    }
+  }
+
+  void Tell(std::size_t from, const SharedChanges& changes) {
+    for (const SocketAddress& peer :
+         processes[from]->relay.Peers(clock.Now())) {
+      const std::size_t to = peer.ipv4 - 1;
+      if (to != from && processes.contains(to) && !deaf.contains(to)) {
+        processes[to]->relay.OnHeard(AddressOf(from), changes, clock.Now());
+        processes[to]->follower.OnShared(changes, clock.Now());
+      }
+    }
+  }
+
+  TestDecoder m_decoder;
+  std::uint64_t m_incarnations = 0;
+  std::uint64_t m_revision = 0;
+  std::map<std::string, StoreItem> m_items;
+};
+
+}  // namespace
+
+TEST_CASE("pattern: many balancers follow entries that change all the time") {
+  Fleet fleet(20);
+  fleet.reads.clear();
+  for (std::uint32_t change = 1; change <= 50; ++change) {
+    fleet.Put("up/" + std::to_string(change % 7), std::to_string(change));
+    fleet.Run(milliseconds(200));
+  }
+  CHECK(fleet.reads.size() == ChangeRelay::kReaders);
+  fleet.Run(milliseconds(1000));
+  for (std::size_t i = 0; i < 20; ++i) {
+    CHECK(fleet.Knows(i, 50));
+  }
+}
+
+TEST_CASE("a process that the store turns away learns changes from others") {
+  Fleet fleet(4);
+  const std::size_t reader = *fleet.Readers(milliseconds(2000)).begin();
+  for (const std::size_t refused : {reader, std::size_t{3}}) {
+    fleet.refused = {refused};
+    fleet.Run(milliseconds(3000));
+    fleet.Put("up/new", std::to_string(100 + refused));
+    fleet.Run(milliseconds(1500));
+    for (std::size_t i = 0; i < 4; ++i) {
+      CHECK(fleet.Knows(i, static_cast<std::uint32_t>(100 + refused)));
+    }
+  }
+}
+
+TEST_CASE("a change is known within its bound though all readers are lost") {
+  Fleet fleet(6);
+  for (const std::size_t reader : fleet.Readers(milliseconds(2000))) {
+    fleet.processes.erase(reader);
+  }
+  fleet.Put("up/1", "11");
+  fleet.Run(milliseconds(2500));
+  for (const auto& [index, process] : fleet.processes) {
+    CHECK(fleet.Knows(index, 11));
+  }
+}
+
+TEST_CASE("a process that hears of nobody reads itself") {
+  Fleet fleet(5);
+  fleet.deaf = {4};
+  fleet.Run(milliseconds(1500));
+  fleet.Put("up/1", "11");
+  fleet.Run(milliseconds(500));
+  CHECK(fleet.Knows(4, 11));
+}
+
+TEST_CASE("lost messages are noticed at the next beat") {
+  Fleet fleet(5);
+  fleet.deaf = {3, 4};
+  fleet.Put("up/1", "11");
+  fleet.Run(milliseconds(200));
+  fleet.deaf.clear();
+  fleet.Run(milliseconds(900));
+  CHECK(fleet.Knows(3, 11));
+  CHECK(fleet.Knows(4, 11));
+}
+
+TEST_CASE("the loss of one reader makes no others read") {
+  Fleet fleet(20);
+  const auto readers = fleet.Readers(milliseconds(2000));
+  REQUIRE(readers.size() == ChangeRelay::kReaders);
+  fleet.processes.erase(*readers.begin());
+  CHECK(fleet.Readers(milliseconds(3000)).size() <= 2);
+}
+
+TEST_CASE("changes are divided into messages that follow each other") {
+  std::vector<StoreItem> items;
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    items.push_back({"up/" + std::to_string(i), std::string(300, 'x'),
+                     Revision{100 + 2 * i}});
+  }
+  SUBCASE("all fit") {
+    const auto messages =
+        ChangeRelay::Divide(Revision{90}, Revision{150}, items);
+    CHECK(messages.size() == 7);
+    CHECK(messages.front().after == Revision{90});
+    CHECK(messages.back().as_of == Revision{150});
+    for (std::size_t i = 1; i < messages.size(); ++i) {
+      CHECK(messages[i].after == messages[i - 1].as_of);
+    }
+  }
+  SUBCASE("one is too large, so that what follows has to be read") {
+    items[9].value = std::string(5000, 'x');
+    const auto messages =
+        ChangeRelay::Divide(Revision{90}, Revision{150}, items);
+    CHECK(messages.back().as_of == Revision{118});
+  }
+}
+
+}  // namespace fireflytrestle
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -84,6 +84,8 @@
     TimePoint disturbed{};
     TimePoint last_message{};
     bool stopped_on_purpose = false;
+    /// A second signal ends a process at once, with exit code 1.
+    int stop_signals = 0;
     bool ready = true;
   };
 
