--- /dev/null
+++ b/src/libflow/balancertable.cpp
@@ -0,0 +1,87 @@
+#include "libflow/balancertable.h"
+
+#include <algorithm>
+
+#include "libflow/nodemessagecodec.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// What a balancer said of the upstream holds for this long; it sends four
+/// heartbeats a second.
+constexpr milliseconds kHeartbeatValid{2000};
+/// A silent balancer still gets reports for this long: after a restart it has
+/// to learn of upstreams that the store no longer lists.
+constexpr milliseconds kBalancerTimeout{30000};
+/// For this long a balancer counts as new.
+constexpr milliseconds kIntroduceFor{3000};
+
+}  // namespace
+
+bool BalancerTable::OnHeartbeat(const SocketAddress& address,
+                                const BalancerHeartbeat& heartbeat,
+                                TimePoint now) {
+  const auto [position, added] = m_balancers.try_emplace(address);
+  Balancer& balancer = position->second;
+  const bool restarted =
+      added || balancer.heartbeat.incarnation != heartbeat.incarnation;
+  balancer.heartbeat = heartbeat;
+  balancer.heard = now;
+  if (restarted) {
+    balancer.appeared = now;
+  }
+  return restarted;
+}
+
+bool BalancerTable::OnIntroduced(const SocketAddress& address, TimePoint now) {
+  const auto [position, added] = m_balancers.try_emplace(address);
+  if (added) {
+    position->second.appeared = now;
+    position->second.heard = now;
+  }
+  return added;
+}
+
+bool BalancerTable::IsZoneOut(TimePoint now) const {
+  return std::any_of(m_balancers.begin(), m_balancers.end(),
+                     [&](const auto& item) {
+                       return item.second.heartbeat.zone_out &&
+                              now - item.second.heard < kHeartbeatValid;
+                     });
+}
+
+std::vector<SocketAddress> BalancerTable::Appeared(TimePoint now) const {
+  std::vector<SocketAddress> appeared;
+  for (const auto& [address, balancer] : m_balancers) {
+    if (now - balancer.appeared < kIntroduceFor &&
+        appeared.size() < kMaxNewBalancers) {
+      appeared.push_back(address);
+    }
+  }
+  return appeared;
+}
+
+std::vector<SocketAddress> BalancerTable::ForgetSilent(TimePoint now) {
+  std::vector<SocketAddress> silent;
+  std::erase_if(m_balancers, [&](const auto& item) {
+    const bool gone = now - item.second.heard > kBalancerTimeout;
+    if (gone) {
+      silent.push_back(item.first);
+    }
+    return gone;
+  });
+  return silent;
+}
+
+std::vector<SocketAddress> BalancerTable::Addresses() const {
+  std::vector<SocketAddress> addresses;
+  for (const auto& [address, balancer] : m_balancers) {
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+}  // namespace fireflytrestle
--- a/src/libflow/flowkeeper.cpp
+++ b/src/libflow/flowkeeper.cpp
@@ -19,18 +19,10 @@
 using State = UpstreamFlow::State;
 
 constexpr milliseconds kSweepInterval{1000};
-/// What a balancer said of the upstream holds for this long; it sends four
-/// heartbeats a second.
-constexpr milliseconds kHeartbeatValid{2000};
-/// A silent balancer still gets reports for this long: after a restart it has
-/// to learn of upstreams that the store no longer lists.
-constexpr milliseconds kBalancerTimeout{30000};
 /// Changes of load that matter are reported at once, but not more often.
 constexpr milliseconds kShortestReportInterval{20};
 /// New flows after which balancers must learn of the load.
 constexpr std::uint32_t kPlacedBeforeReport = 4;
-/// For this long a balancer counts as new.
-constexpr milliseconds kIntroduceFor{3000};
 /// Time for the last packets of a flow that is closing or was never confirmed.
 constexpr milliseconds kClosingTime{3000};
 /// A flow whose caller has not sent its request by then is not going to be
@@ -382,53 +374,41 @@
   if (m_draining) {
     return ReturnReason::kUpstreamDraining;
   }
-  const bool zone_out = std::any_of(
-      m_balancers.begin(), m_balancers.end(), [&](const auto& item) {
-        return item.second.heartbeat.zone_out &&
-               now - item.second.heard < kHeartbeatValid;
-      });
-  return zone_out ? ReturnReason::kZoneOut : ReturnReason::kCount;
+  return m_balancers.IsZoneOut(now) ? ReturnReason::kZoneOut
+                                    : ReturnReason::kCount;
 }
 
 void FlowKeeper::On(const SocketAddress& source,
                     const BalancerHeartbeat& heartbeat,
                     TimePoint now) {
-  const auto [position, added] = m_balancers.try_emplace(source);
-  Balancer& balancer = position->second;
-  const bool restarted =
-      added || balancer.heartbeat.incarnation != heartbeat.incarnation;
-  balancer.heartbeat = heartbeat;
-  balancer.heard = now;
-  if (restarted) {
-    balancer.appeared = now;
+  if (m_balancers.OnHeartbeat(source, heartbeat, now)) {
     Report(Kind::kPeerBack, {}, source, "heartbeat");
     SendAllFlows(source, now);
   }
-  Introduce(heartbeat.new_balancers, now);
-  if (heartbeat.entry_revision != Revision{} &&
-      heartbeat.entry_revision >= m_entry_revision) {
-    if (heartbeat.entry_revision > m_entry_revision) {
-      Report(Kind::kPeerPhase, {}, source,
-             heartbeat.draining ? "entry_draining" : "entry_ready");
-      m_cold.SetCold(now + heartbeat.cold_left, heartbeat.cold_rate_milli);
+  for (const SocketAddress& address : heartbeat.new_balancers) {
+    if (m_balancers.OnIntroduced(address, now)) {
+      Report(Kind::kPeerBack, {}, address, "introduced");
+      SendAllFlows(address, now);
     }
-    m_entry_revision = heartbeat.entry_revision;
-    m_gate.SetSlots(heartbeat.slots);
-    m_draining = heartbeat.draining;
   }
+  OnEntry(source, heartbeat, now);
 }
 
-void FlowKeeper::Introduce(const std::vector<SocketAddress>& balancers,
-                           TimePoint now) {
-  for (const SocketAddress& address : balancers) {
-    const auto [position, added] = m_balancers.try_emplace(address);
-    if (added) {
-      position->second.appeared = now;
-      position->second.heard = now;
-      Report(Kind::kPeerBack, {}, address, "introduced");
-      SendAllFlows(address, now);
-    }
+void FlowKeeper::OnEntry(const SocketAddress& source,
+                         const BalancerHeartbeat& heartbeat,
+                         TimePoint now) {
+  if (heartbeat.entry_revision == Revision{} ||
+      heartbeat.entry_revision < m_entry_revision) {
+    return;
   }
+  if (heartbeat.entry_revision > m_entry_revision) {
+    Report(Kind::kPeerPhase, {}, source,
+           heartbeat.draining ? "entry_draining" : "entry_ready");
+    m_cold.SetCold(now + heartbeat.cold_left, heartbeat.cold_rate_milli);
+  }
+  m_entry_revision = heartbeat.entry_revision;
+  m_gate.SetSlots(heartbeat.slots);
+  m_draining = heartbeat.draining;
 }
 
 void FlowKeeper::OnUpstreamDown(TimePoint now) {
@@ -489,13 +469,9 @@
       Forget(position);
     }
   }
-  std::erase_if(m_balancers, [&](const auto& item) {
-    const bool gone = now - item.second.heard > kBalancerTimeout;
-    if (gone) {
-      Report(Kind::kPeerSilent, {}, item.first, "no_heartbeat");
-    }
-    return gone;
-  });
+  for (const SocketAddress& silent : m_balancers.ForgetSilent(now)) {
+    Report(Kind::kPeerSilent, {}, silent, "no_heartbeat");
+  }
 }
 
 milliseconds FlowKeeper::AgeOf(const UpstreamFlow& flow, TimePoint now) const {
@@ -512,12 +488,7 @@
   status.zone = m_settings.zone;
   status.phase = m_phase;
   status.running = m_running + static_cast<std::uint32_t>(m_gate.size());
-  for (const auto& [address, balancer] : m_balancers) {
-    if (now - balancer.appeared < kIntroduceFor &&
-        status.new_balancers.size() < kMaxNewBalancers) {
-      status.new_balancers.push_back(address);
-    }
-  }
+  status.new_balancers = m_balancers.Appeared(now);
   for (const auto& [tuple, flow] : m_flows) {
     const bool counts =
         flow.state == State::kOpening || flow.state == State::kOpen;
@@ -539,19 +510,17 @@
   m_next_status = now + SilenceJudge::kReportInterval;
   m_placed_since_status = 0;
   AgentStatus status = MakeStatus(now);
+  const std::vector<SocketAddress> known = m_balancers.Addresses();
+  const std::vector<SocketAddress>& receivers =
+      known.empty() ? m_settings.seeds : known;
   do {
     const std::size_t count = std::min(m_opened.size(), kMaxFlowsPerStatus);
     status.opened.assign(m_opened.end() - static_cast<std::ptrdiff_t>(count),
                          m_opened.end());
     m_opened.resize(m_opened.size() - count);
-    for (const auto& [address, balancer] : m_balancers) {
+    for (const SocketAddress& address : receivers) {
       m_output->SendToNode(address, status);
     }
-    if (m_balancers.empty()) {
-      for (const SocketAddress& seed : m_settings.seeds) {
-        m_output->SendToNode(seed, status);
-      }
-    }
   } while (!m_opened.empty());
 }
 
--- a/src/libflow/flowkeeper.h
+++ b/src/libflow/flowkeeper.h
@@ -2,11 +2,11 @@
 #define FIREFLYTRESTLE_LIBFLOW_FLOWKEEPER_H_
 
 #include <cstdint>
-#include <map>
 #include <span>
 #include <string>
 #include <vector>
 
+#include "libflow/balancertable.h"
 #include "libflow/coldadmission.h"
 #include "libflow/flowdecision.h"
 #include "libflow/heldflows.h"
@@ -70,13 +70,6 @@
   AgentPhase phase() const { return m_phase; }
 
  private:
-  struct Balancer {
-    BalancerHeartbeat heartbeat;
-    /// When its present incarnation was first heard of.
-    TimePoint appeared;
-    TimePoint heard;
-  };
-
   void On(const SocketAddress& source,
           const DeliverMessage& message,
           TimePoint now);
@@ -139,7 +132,11 @@
   AgentStatus MakeStatus(TimePoint now) const;
   void SendStatus(TimePoint now);
   void SendAllFlows(const SocketAddress& balancer, TimePoint now);
-  void Introduce(const std::vector<SocketAddress>& balancers, TimePoint now);
+  /// Takes what the balancer's view says of the upstream, if it is not older
+  /// than what is known.
+  void OnEntry(const SocketAddress& source,
+               const BalancerHeartbeat& heartbeat,
+               TimePoint now);
   void Sweep(TimePoint now);
 
   Settings m_settings;
@@ -149,7 +146,7 @@
   HeldFlows m_flows;
   /// Flows to name in the next status.
   std::vector<HeldFlow> m_opened;
-  std::map<SocketAddress, Balancer> m_balancers;
+  BalancerTable m_balancers;
   Revision m_entry_revision{};
   bool m_draining = false;
   ColdAdmission m_cold;
