Let a search larger than its burst pass, and name the flow of each one that is put off

A search of all agents over a slow link could cost more than the bucket ever holds and would never have started. The test of the bucket guards it.

--- a/src/libbase/tokenbucket.cpp
+++ b/src/libbase/tokenbucket.cpp
@@ -9,10 +9,11 @@
     Add(m_rate * std::chrono::duration<double>(now - m_updated).count());
     m_updated = now;
   }
-  if (m_tokens < tokens) {
+  const double taken = std::min(tokens, m_burst);
+  if (m_tokens < taken) {
     return false;
   }
-  m_tokens -= tokens;
+  m_tokens -= taken;
   return true;
 }
 
--- a/src/libbase/tokenbucket.h
+++ b/src/libbase/tokenbucket.h
@@ -16,7 +16,8 @@
         m_tokens(burst),
         m_updated(now) {}
 
-  /// Takes \p tokens if there are so many.
+  /// Takes \p tokens if there are so many; an event that takes more than the
+  /// burst takes a full bucket.
   bool TryTake(TimePoint now, double tokens = 1.0);
 
   /// Adds \p tokens, up to the burst.
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -211,7 +211,7 @@
   }
   if (entry->state == State::kSearching) {
     if (!EndFruitlessSearch(tuple, *entry, now)) {
-      Ask(*entry, datagram, now);
+      Ask(tuple, *entry, datagram, now);
     }
     return;
   }
@@ -248,24 +248,25 @@
     entry->asked.insert(entry->asked.end(), agents.begin(), agents.end());
   }
   Report(Kind::kSearched, tuple, nullptr, "owner_unknown", now);
-  if (Ask(*entry, datagram, now)) {
+  if (Ask(tuple, *entry, datagram, now)) {
     return;
   }
   // A flow that opened a moment ago may be reset here, and all others that
   // reach this line have no owner.
-  if (m_loss.AreAllFlowsLost(now)) {
+  if (m_loss.AreAllFlowsLost(now) && !packet.reset) {
     Reset(tuple, packet.acknowledgment, "all_flows_lost", nullptr, now);
   }
   m_flows.Erase(tuple);
 }
 
-bool FlowRouter::Ask(const FlowEntry& entry,
+bool FlowRouter::Ask(const FlowTuple& tuple,
+                     const FlowEntry& entry,
                      std::span<const std::uint8_t> datagram,
                      TimePoint now) {
   const std::size_t bytes =
       entry.asked.size() * (datagram.size() + kDeliverOverheadBytes);
   if (!m_search_bytes.TryTake(now, static_cast<double>(bytes))) {
-    Report(Kind::kDropped, {}, nullptr, "search_budget", now);
+    Report(Kind::kDropped, tuple, nullptr, "search_budget", now);
     return false;
   }
   for (const AgentPeerPtr& agent : entry.asked) {
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -101,7 +101,8 @@
                       TimePoint now);
   /// Asks the agents that have not answered yet, if the searches' part of the
   /// link allows it. Returns whether it does.
-  bool Ask(const FlowEntry& entry,
+  bool Ask(const FlowTuple& tuple,
+           const FlowEntry& entry,
            std::span<const std::uint8_t> datagram,
            TimePoint now);
   /// Ends a search that nobody is left to answer. Returns whether it did, and
--- a/tests/libbase/retrybudgettest.cpp
+++ b/tests/libbase/retrybudgettest.cpp
@@ -4,6 +4,7 @@
 #include "libbase/manualclock.h"
 #include "libbase/retrybudget.h"
 #include "libbase/socketaddress.h"
+#include "libbase/tokenbucket.h"
 
 namespace fireflytrestle {
 
@@ -24,6 +25,19 @@
   CHECK(passed);
 }
 
+TEST_CASE("A token bucket lets an event of any size pass once it is full") {
+  // Guards against a search of many agents over a slow link that never starts.
+  ManualClock clock;
+  TokenBucket bucket(100.0, 25.0, clock.Now());
+  CHECK(bucket.TryTake(clock.Now(), 1000.0));
+  CHECK_FALSE(bucket.TryTake(clock.Now(), 1.0));
+  clock.Advance(std::chrono::milliseconds(200));
+  CHECK_FALSE(bucket.TryTake(clock.Now(), 1000.0));
+  CHECK(bucket.TryTake(clock.Now(), 20.0));
+  clock.Advance(std::chrono::milliseconds(250));
+  CHECK(bucket.TryTake(clock.Now(), 1000.0));
+}
+
 TEST_CASE("SocketAddress reads what it writes") {
   const bool passed = rc::check([](std::uint32_t ipv4) {
     const SocketAddress address{
--- a/tests/libflow/lostflowstest.cpp
+++ b/tests/libflow/lostflowstest.cpp
@@ -32,6 +32,21 @@
   }
 }
 
+/// All processes end and start again after a second; of the agents, the first
+/// \p agents do.
+void RestartProcesses(FlowSite* site, std::size_t agents) {
+  for (std::size_t i = 0; i < site->agents.size(); ++i) {
+    site->agents[i]->running = false;
+    if (i < agents) {
+      site->StartAgent(i);
+    }
+  }
+  site->StartBalancer(0);
+  site->StartBalancer(1);
+  site->clock.Advance(milliseconds(1400));
+  site->Publish();
+}
+
 /// Sends a packet of a flow that no upstream holds.
 FlowTuple SendStray(FlowSite* site, std::uint32_t number = 0) {
   const FlowTuple tuple = FlowSite::Tuple(900 + number);
@@ -55,17 +70,10 @@
   SUBCASE("one does not") {
     back = 3;
   }
-  for (std::size_t i = 0; i < site.agents.size(); ++i) {
-    site.agents[i]->upstream->Restart();
-    site.agents[i]->running = false;
-    if (i < back) {
-      site.StartAgent(i);
-    }
+  for (const auto& agent : site.agents) {
+    agent->upstream->Restart();
   }
-  site.StartBalancer(0);
-  site.StartBalancer(1);
-  site.clock.Advance(milliseconds(1400));
-  site.Publish();
+  RestartProcesses(&site, back);
   site.Run(milliseconds(200));
   UseFeeds(&site, 2);
   for (std::uint32_t caller = 1; caller <= kCallers; ++caller) {
@@ -76,13 +84,7 @@
 TEST_CASE("pattern: all processes are killed and the flows live on") {
   FlowSite site(2, 4);
   OpenFeeds(&site);
-  for (std::size_t i = 0; i < site.agents.size(); ++i) {
-    site.StartAgent(i);
-  }
-  site.StartBalancer(0);
-  site.StartBalancer(1);
-  site.clock.Advance(milliseconds(1400));
-  site.Publish();
+  RestartProcesses(&site, site.agents.size());
   site.Run(milliseconds(50));
   UseFeeds(&site, 2);
   CHECK(site.resets.empty());
--- a/tests/libsite/changerelaytest.cpp
+++ b/tests/libsite/changerelaytest.cpp
@@ -8,10 +8,10 @@
 
 #include "libbase/manualclock.h"
 #include "libbase/seededrandom.h"
-#include "libsite/recorddecoder.h"
 #include "libsite/sitestate.h"
 #include "libsite/siteview.h"
 #include "libsite/storefollower.h"
+#include "testdecoder.h"
 
 namespace fireflytrestle {
 
@@ -19,20 +19,6 @@
 
 namespace {
 
-/// \brief Items "up/N", each an upstream with the address in its value.
-class TestDecoder : public RecordDecoder {
- public:
-  boost::leaf::result<SiteRecord> Decode(
-      const std::string& key,
-      std::string_view value) const override {
-    UpstreamEntry entry;
-    entry.id = key;
-    entry.address = {static_cast<std::uint32_t>(std::stoul(std::string(value))),
-                     1};
-    return SiteRecord(entry);
-  }
-};
-
 /// \brief Several processes that follow one store on a paused clock and tell
 /// each other of its changes.
 class Fleet {
--- a/tests/libsite/storefollowertest.cpp
+++ b/tests/libsite/storefollowertest.cpp
@@ -2,13 +2,11 @@
 
 #include <doctest/doctest.h>
 
-#include <boost/leaf/result.hpp>
-
 #include "libbase/manualclock.h"
 #include "libbase/seededrandom.h"
-#include "libsite/recorddecoder.h"
 #include "libsite/sitestate.h"
 #include "libsite/siteview.h"
+#include "testdecoder.h"
 
 namespace fireflytrestle {
 
@@ -16,29 +14,6 @@
 
 namespace {
 
-/// \brief Items of the tests: "config" with a version, "zone/NAME", and
-/// "up/NAME" with a number that makes its address.
-class TestDecoder : public RecordDecoder {
- public:
-  boost::leaf::result<SiteRecord> Decode(
-      const std::string& key,
-      std::string_view value) const override {
-    if (key == "config") {
-      SiteConfiguration configuration;
-      configuration.version = std::stoul(std::string(value));
-      return SiteRecord(configuration);
-    }
-    if (key.starts_with("zone/")) {
-      return SiteRecord(ZoneOut{key.substr(5)});
-    }
-    UpstreamEntry entry;
-    entry.id = key.substr(3);
-    entry.address = {static_cast<std::uint32_t>(std::stoul(std::string(value))),
-                     1};
-    return SiteRecord(entry);
-  }
-};
-
 struct Site {
   ManualClock clock;
   TestDecoder decoder;
--- /dev/null
+++ b/tests/libsite/testdecoder.h
@@ -0,0 +1,36 @@
+#ifndef FIREFLYTRESTLE_TESTS_LIBSITE_TESTDECODER_H_
+#define FIREFLYTRESTLE_TESTS_LIBSITE_TESTDECODER_H_
+
+#include <boost/leaf/result.hpp>
+#include <string>
+
+#include "libsite/recorddecoder.h"
+
+namespace fireflytrestle {
+
+/// \brief Items of the tests: "config" with a version, "zone/NAME", and
+/// "up/NAME" with a number that makes its address.
+class TestDecoder : public RecordDecoder {
+ public:
+  boost::leaf::result<SiteRecord> Decode(
+      const std::string& key,
+      std::string_view value) const override {
+    if (key == "config") {
+      SiteConfiguration configuration;
+      configuration.version = std::stoul(std::string(value));
+      return SiteRecord(configuration);
+    }
+    if (key.starts_with("zone/")) {
+      return SiteRecord(ZoneOut{key.substr(5)});
+    }
+    UpstreamEntry entry;
+    entry.id = key.substr(3);
+    entry.address = {static_cast<std::uint32_t>(std::stoul(std::string(value))),
+                     1};
+    return SiteRecord(entry);
+  }
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_TESTS_LIBSITE_TESTDECODER_H_
