A balancer that the store turns away counts as informed while others tell it

Cause (found by reading): a balancer whose own read had failed and that then learned all changes from others went on saying that the store is lost, and never read again to find otherwise. Searches for owners do not end on such a view, so that callers of lost flows would have waited for their timeouts there.

The new test fails without the change, for each of five processes in turn.

--- a/src/libnet/storereader.cpp
+++ b/src/libnet/storereader.cpp
@@ -168,9 +168,7 @@
                     {{LogKey::kSource, follower->prefix()},
                      {LogKey::kError, answer.problem}});
   }
-  const bool reached =
-      std::all_of(m_followers.begin(), m_followers.end(),
-                  [](const auto& each) { return each->reached(); });
+  const bool reached = IsKnown();
   if (reached != m_reached) {
     m_reached = reached;
     m_logger->Write(
@@ -186,11 +184,14 @@
   Read(follower);
 }
 
+bool StoreReader::IsKnown() const {
+  const TimePoint now = m_clock.Now();
+  return std::all_of(m_followers.begin(), m_followers.end(),
+                     [&](const auto& each) { return each->IsKnown(now); });
+}
+
 void StoreReader::Confirm() {
-  const bool known =
-      std::all_of(m_followers.begin(), m_followers.end(),
-                  [](const auto& each) { return each->reached(); });
-  if (known) {
+  if (IsKnown()) {
     const auto oldest =
         std::min_element(m_followers.begin(), m_followers.end(),
                          [](const auto& a, const auto& b) {
--- a/src/libnet/storereader.h
+++ b/src/libnet/storereader.h
@@ -69,6 +69,7 @@
   void Share();
   void SendChanges(Revision after, const StoreAnswer& answer);
   void Confirm();
+  bool IsKnown() const;
 
   StoreClient* m_client;
   const Clock& m_clock;
--- a/src/libsite/storefollower.cpp
+++ b/src/libsite/storefollower.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "libbase/randomsource.h"
+#include "libsite/changerelay.h"
 #include "libsite/sitestate.h"
 
 namespace fireflytrestle {
@@ -111,8 +112,13 @@
   return changed;
 }
 
+bool StoreFollower::IsKnown(TimePoint now) const {
+  const bool told = now - m_last_told < ChangeRelay::kBeatValid;
+  return m_listed && (m_failures == 0 || told);
+}
+
 bool StoreFollower::ReadsStore(TimePoint now) const {
-  return !m_passive && reached() &&
+  return !m_passive && m_listed && m_failures == 0 &&
          now - m_last_read <= kSharingWatchWait + kAnswerTimeout;
 }
 
@@ -132,6 +138,7 @@
   if (!m_gap) {
     m_position = std::max(m_position, changes.as_of);
     m_last_contact = now;
+    m_last_told = now;
   }
   return changed;
 }
--- a/src/libsite/storefollower.h
+++ b/src/libsite/storefollower.h
@@ -73,7 +73,8 @@
   /// When the store or another process last told of changes or that there are
   /// none; the epoch before the first time.
   TimePoint last_contact() const { return m_last_contact; }
-  bool reached() const { return m_failures == 0 && m_listed; }
+  /// Whether the store's state is known, from it or from other processes.
+  bool IsKnown(TimePoint now) const;
 
  private:
   bool OnPage(const StoreAnswer& answer, TimePoint now);
@@ -93,6 +94,7 @@
   TimePoint m_next{};
   TimePoint m_last_contact{};
   TimePoint m_last_read{};
+  TimePoint m_last_told{};
   int m_failures = 0;
   /// Watch from here.
   Revision m_position{};
--- a/tests/libsite/changerelaytest.cpp
+++ b/tests/libsite/changerelaytest.cpp
@@ -196,6 +196,23 @@
   }
 }
 
+TEST_CASE("a process that was turned away counts on others afterwards") {
+  Fleet fleet(5);
+  for (std::size_t i = 0; i < 5; ++i) {
+    // All others are lost for a moment, so that it reads and is refused.
+    fleet.deaf = {i};
+    fleet.refused = {i};
+    fleet.Run(milliseconds(3000));
+    CHECK_FALSE(fleet.processes[i]->follower.IsKnown(fleet.clock.Now()));
+    fleet.deaf.clear();
+    fleet.Run(milliseconds(3000));
+    CHECK(fleet.processes[i]->follower.IsKnown(fleet.clock.Now()));
+    fleet.refused.clear();
+    fleet.Run(milliseconds(3000));
+    CHECK(fleet.processes[i]->follower.IsKnown(fleet.clock.Now()));
+  }
+}
+
 TEST_CASE("a change is known within its bound though all readers are lost") {
   Fleet fleet(6);
   for (const std::size_t reader : fleet.Readers(milliseconds(2000))) {
--- a/tests/libsite/storefollowertest.cpp
+++ b/tests/libsite/storefollowertest.cpp
@@ -140,7 +140,7 @@
     site.clock.Advance(milliseconds(50));
   }
   CHECK(site.state.View()->configuration_version == 3);
-  CHECK_FALSE(site.follower.reached());
+  CHECK_FALSE(site.follower.IsKnown(site.clock.Now()));
   // At least every 1.6 s, so that a change is in force 3 s after its return.
   CHECK(reads >= 6);
   CHECK(reads <= 20);
