--- a/src/flowbalancer/flowbalancerprocess.cpp
+++ b/src/flowbalancer/flowbalancerprocess.cpp
@@ -39,7 +39,7 @@
       m_telemetry(logger),
       m_incarnation{DrawSeed()},
       m_reader(platform.prefixes,
-               {platform.shared_prefix, m_incarnation,
+               {m_incarnation,
                 [this](const std::vector<SocketAddress>& peers,
                        const SharedChanges& changes) {
                   m_thread.Post([this, peers, changes] {
--- a/src/flowbalancer/flowbalancerprocess.h
+++ b/src/flowbalancer/flowbalancerprocess.h
@@ -30,10 +30,8 @@
     StoreClient* store = nullptr;
     const RecordDecoder* decoder = nullptr;
     const PacketCodec* codec = nullptr;
-    /// Key prefixes of the store to follow, and the one of them that a few
-    /// balancers read on behalf of all.
+    /// Key prefixes of the store to follow.
     std::vector<std::string> prefixes;
-    std::string shared_prefix;
   };
 
   /// All references must outlive the process.
--- a/src/flowbalancer/main.cpp
+++ b/src/flowbalancer/main.cpp
@@ -34,8 +34,7 @@
                                  &decoder,
                                  &codec,
                                  {PlatformRecordDecoder::kOperatorPrefix,
-                                  PlatformRecordDecoder::kUpstreamPrefix},
-                                 PlatformRecordDecoder::kUpstreamPrefix},
+                                  PlatformRecordDecoder::kUpstreamPrefix}},
                                 clock, &logger);
     BOOST_LEAF_CHECK(process.Start());
     QCoreApplication::exec();
--- a/src/libflow/agentfailuredetector.h
+++ b/src/libflow/agentfailuredetector.h
@@ -23,13 +23,17 @@
   /// process was paused.
   static constexpr std::chrono::milliseconds kPauseThreshold{200};
 
+  /// An agent that does not begin to report for this long after the first
+  /// request is silent: the time of ten requests, one every 50 ms.
+  static constexpr std::chrono::milliseconds kRequestTimeout{500};
+
   /// Returns the agents that have become silent, and marks them; none while the
   /// detector is not reliable. An agent that announced its stop becomes silent
   /// only after kStopGrace.
   std::vector<AgentPeerPtr> OnTick(const AgentTable& agents, TimePoint now);
 
-  /// Whether at least half of the agents that are not marked as silent report,
-  /// and at least one.
+  /// Whether at least half of the agents from which reports are wanted and
+  /// which are not marked as silent report, and at least one.
   bool HasQuorum() const { return m_quorum; }
 
   /// Whether the silence of agents may be acted on: there is a quorum, and this
@@ -37,6 +41,8 @@
   bool IsReliable(TimePoint now) const;
 
  private:
+  static std::chrono::milliseconds SilenceTimeoutFor(const AgentPeer& agent);
+
   /// The platform kills a stopping process 6 s after the announcement of its
   /// stop.
   static constexpr std::chrono::milliseconds kStopGrace{6000};
--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -27,6 +27,8 @@
 /// in the load for a short flow.
 constexpr double kLongFlowWeight = 0.01;
 constexpr double kMilli = 1000.0;
+/// Callers pause for seconds between the requests of a long-lived flow.
+constexpr std::chrono::seconds kUseTimeout{10};
 
 }  // namespace
 
@@ -50,8 +52,22 @@
           : static_cast<std::uint32_t>(limits->second.cold_rate * kMilli);
 }
 
+bool AgentPeer::IsStale(const AgentStatus& status) const {
+  if (status.incarnation == m_incarnation) {
+    return status.number != 0 && status.number <= m_report_number;
+  }
+  return m_last_report && status.incarnation == m_previous_incarnation;
+}
+
 void AgentPeer::OnStatus(const AgentStatus& status, TimePoint now) {
   m_last_report = now;
+  m_reports_continue =
+      !status.report_interval || *status.report_interval > milliseconds(0);
+  if (status.incarnation != m_incarnation) {
+    m_previous_incarnation = m_incarnation;
+    m_incarnation = status.incarnation;
+  }
+  m_report_number = status.number;
   m_phase = status.phase;
   m_running = status.running;
   m_long_flows = status.long_flows;
@@ -64,6 +80,33 @@
   }
 }
 
+void AgentPeer::RequestReports(TimePoint now) {
+  if (!m_reports_wanted) {
+    m_reports_wanted = true;
+    m_reports_wanted_since = now;
+  }
+}
+
+void AgentPeer::CancelReports() {
+  m_reports_wanted = false;
+  m_silent = false;
+}
+
+void AgentPeer::OnForwarded(TimePoint now) {
+  m_last_forwarded = now;
+  RequestReports(now);
+}
+
+bool AgentPeer::IsReporting() const {
+  return m_reports_wanted && m_reports_continue && !m_silent && m_last_report &&
+         *m_last_report >= m_reports_wanted_since;
+}
+
+bool AgentPeer::IsInUse(TimePoint now) const {
+  return m_last_forwarded != TimePoint{} &&
+         now - m_last_forwarded < kUseTimeout;
+}
+
 void AgentPeer::OnFlowPlaced(bool long_lived) {
   ++(long_lived ? m_placed_long : m_placed_short);
 }
@@ -80,8 +123,7 @@
 }
 
 bool AgentPeer::IsPreferred(TimePoint now) const {
-  return IsCandidate() && !m_silent && !m_missing && m_last_report &&
-         now >= m_backoff_until;
+  return IsCandidate() && !m_missing && IsReporting() && now >= m_backoff_until;
 }
 
 double AgentPeer::Load(bool long_lived, TimePoint now) const {
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -27,7 +27,26 @@
   /// longer has one.
   void OnView(const UpstreamEntry* entry, const SiteView& view);
 
+  /// Whether \p status was sent before the last one that was applied, in the
+  /// same run of the agent or in the one before.
+  bool IsStale(const AgentStatus& status) const;
   void OnStatus(const AgentStatus& status, TimePoint now);
+  /// Requests regular reports from the agent, or cancels the request. Whether
+  /// an agent is silent is known only while reports are wanted.
+  void RequestReports(TimePoint now);
+  void CancelReports();
+  bool reports_wanted() const { return m_reports_wanted; }
+  /// When the present request began.
+  TimePoint reports_wanted_since() const { return m_reports_wanted_since; }
+  /// Whether the agent has answered the present request and is not silent.
+  bool IsReporting() const;
+
+  /// Records that a packet was forwarded to the agent, and requests reports.
+  void OnForwarded(TimePoint now);
+  /// Whether packets were forwarded to the agent recently, so that its loss has
+  /// to be detected.
+  bool IsInUse(TimePoint now) const;
+
   /// Counts a new flow that was sent to the agent and that its reports do not
   /// include yet.
   void OnFlowPlaced(bool long_lived);
@@ -39,7 +58,7 @@
   /// draining, its zone is not out, and its agent's phase is serving.
   bool IsCandidate() const;
   /// Whether the upstream is a candidate that is not missing from the store,
-  /// and whose agent reports and has not returned a SYN a moment ago.
+  /// and whose agent reports regularly and has not returned a SYN a moment ago.
   bool IsPreferred(TimePoint now) const;
 
   /// Whether the upstream holds a flow that opened before \p time, according to
@@ -72,6 +91,8 @@
   const SocketAddress& address() const { return m_address; }
   const std::string& service() const { return m_service; }
   const std::string& zone() const { return m_zone; }
+  /// Identifies the agent's current run; zero before its first report.
+  Incarnation incarnation() const { return m_incarnation; }
   AgentPhase phase() const { return m_phase; }
   std::uint32_t running() const { return m_running; }
   std::optional<TimePoint> last_report() const { return m_last_report; }
@@ -95,8 +116,18 @@
   TimePoint m_cold_until{};
   std::uint32_t m_cold_rate_milli = 0;
 
+  bool m_reports_wanted = false;
+  TimePoint m_reports_wanted_since{};
+  TimePoint m_last_forwarded{};
+
   // From the agent's reports and answers.
   std::optional<TimePoint> m_last_report;
+  /// The last report announced that further ones follow.
+  bool m_reports_continue = false;
+  Incarnation m_incarnation{};
+  Incarnation m_previous_incarnation{};
+  /// Number of the last report; 0 if the agent does not number them.
+  std::uint64_t m_report_number = 0;
   AgentPhase m_phase = AgentPhase::kServing;
   std::uint32_t m_running = 0;
   std::uint32_t m_long_flows = 0;
--- a/src/libflow/agenttable.h
+++ b/src/libflow/agenttable.h
@@ -39,6 +39,11 @@
   /// service.
   const std::vector<AgentPeerPtr>& ForService(const std::string& service) const;
 
+  const std::unordered_map<std::string, std::vector<AgentPeerPtr>>& by_service()
+      const {
+    return m_by_service;
+  }
+
   const std::unordered_map<SocketAddress, AgentPeerPtr, SocketAddressHash>&
   all() const {
     return m_agents;
--- a/src/libflow/balancertable.cpp
+++ b/src/libflow/balancertable.cpp
@@ -15,7 +15,10 @@
 constexpr milliseconds kHeartbeatTimeout{2000};
 /// A silent balancer still gets reports for this long: after a restart it needs
 /// them to find upstreams that the store no longer lists.
-constexpr milliseconds kBalancerTimeout{30000};
+constexpr milliseconds kReportTimeout{30000};
+/// A balancer without use for the agent's reports sends heartbeats at an
+/// interval that grows with the number of agents, to minutes for 10,000.
+constexpr milliseconds kBalancerTimeout{300000};
 /// A balancer is announced as new for this long after it was first seen or has
 /// restarted.
 constexpr milliseconds kNewBalancerPeriod{3000};
@@ -46,6 +49,50 @@
   return added;
 }
 
+void BalancerTable::OnReportRequest(const SocketAddress& address,
+                                    const ReportRequest& request,
+                                    TimePoint now) {
+  const auto [position, added] = m_balancers.try_emplace(address);
+  Balancer& balancer = position->second;
+  if (added) {
+    balancer.first_seen = now;
+  }
+  balancer.last_heartbeat = now;
+  balancer.zone = request.zone;
+  balancer.report_interval = request.interval;
+}
+
+const BalancerTable::Balancer* BalancerTable::Find(
+    const SocketAddress& address) const {
+  const auto position = m_balancers.find(address);
+  return position == m_balancers.end() ? nullptr : &position->second;
+}
+
+std::optional<milliseconds> BalancerTable::ReportInterval(
+    const SocketAddress& address) const {
+  const Balancer* balancer = Find(address);
+  return balancer == nullptr ? std::nullopt : balancer->report_interval;
+}
+
+bool BalancerTable::IsReportDue(const SocketAddress& address,
+                                TimePoint now) const {
+  const Balancer* balancer = Find(address);
+  return balancer == nullptr ||
+         (balancer->report_interval != milliseconds(0) &&
+          now - balancer->last_heartbeat <= kReportTimeout);
+}
+
+bool BalancerTable::CanReceiveFlowsOf(const SocketAddress& address,
+                                      const SocketAddress& sender) const {
+  const Balancer* receiver = Find(address);
+  if (address == sender || receiver == nullptr || receiver->zone.empty()) {
+    return true;
+  }
+  const Balancer* forwarder = Find(sender);
+  return forwarder == nullptr || forwarder->zone.empty() ||
+         forwarder->zone == receiver->zone;
+}
+
 bool BalancerTable::IsZoneOut(TimePoint now) const {
   return std::any_of(
       m_balancers.begin(), m_balancers.end(), [&](const auto& item) {
@@ -54,13 +101,19 @@
       });
 }
 
-std::vector<SocketAddress> BalancerTable::NewBalancers(TimePoint now) const {
+std::vector<SocketAddress> BalancerTable::NextNewBalancers(TimePoint now) {
   std::vector<SocketAddress> new_balancers;
-  for (const auto& [address, balancer] : m_balancers) {
-    if (now - balancer.first_seen < kNewBalancerPeriod &&
-        new_balancers.size() < kMaxNewBalancers) {
-      new_balancers.push_back(address);
+  auto next = m_balancers.upper_bound(m_last_announced);
+  for (std::size_t i = 0;
+       i < m_balancers.size() && new_balancers.size() < kMaxNewBalancers; ++i) {
+    if (next == m_balancers.end()) {
+      next = m_balancers.begin();
+    }
+    if (now - next->second.first_seen < kNewBalancerPeriod) {
+      new_balancers.push_back(next->first);
+      m_last_announced = next->first;
     }
+    ++next;
   }
   return new_balancers;
 }
--- a/src/libflow/balancertable.h
+++ b/src/libflow/balancertable.h
@@ -1,7 +1,10 @@
 #ifndef FIREFLYTRESTLE_LIBFLOW_BALANCERTABLE_H_
 #define FIREFLYTRESTLE_LIBFLOW_BALANCERTABLE_H_
 
+#include <chrono>
 #include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "libbase/clock.h"
@@ -23,16 +26,33 @@
   /// new.
   bool OnIntroduced(const SocketAddress& address, TimePoint now);
 
+  void OnReportRequest(const SocketAddress& address,
+                       const ReportRequest& request,
+                       TimePoint now);
+
+  /// Returns the requested interval of reports to a balancer: 0 if it wants no
+  /// regular ones, empty if it has sent no request.
+  std::optional<std::chrono::milliseconds> ReportInterval(
+      const SocketAddress& address) const;
+
+  /// Whether the balancer gets regular reports.
+  bool IsReportDue(const SocketAddress& address, TimePoint now) const;
+
+  /// Whether \p address may get packets of a flow whose last packet \p sender
+  /// forwarded: both are in the same zone, or one of the zones is unknown.
+  bool CanReceiveFlowsOf(const SocketAddress& address,
+                         const SocketAddress& sender) const;
+
   /// Whether any balancer's heartbeat of the last 2 s says that the agent's
   /// zone is out.
   bool IsZoneOut(TimePoint now) const;
 
   /// Returns up to kMaxNewBalancers balancers that appeared recently, to be
-  /// announced to other balancers.
-  std::vector<SocketAddress> NewBalancers(TimePoint now) const;
+  /// announced to other balancers; all of them in turn.
+  std::vector<SocketAddress> NextNewBalancers(TimePoint now);
 
-  /// Removes the balancers that have sent no heartbeat for 30 s, and returns
-  /// them.
+  /// Removes the balancers that have sent no heartbeat for 5 minutes, and
+  /// returns them.
   std::vector<SocketAddress> ExpireSilent(TimePoint now);
 
   std::vector<SocketAddress> Addresses() const;
@@ -40,12 +60,19 @@
  private:
   struct Balancer {
     BalancerHeartbeat heartbeat;
+    /// Empty until the balancer has sent a request.
+    std::string zone;
+    std::optional<std::chrono::milliseconds> report_interval;
     /// When the present incarnation was first seen.
     TimePoint first_seen;
     TimePoint last_heartbeat;
   };
 
+  const Balancer* Find(const SocketAddress& address) const;
+
   std::map<SocketAddress, Balancer> m_balancers;
+  /// Last balancer that NextNewBalancers() returned.
+  SocketAddress m_last_announced;
 };
 
 }  // namespace fireflytrestle
--- a/src/libflow/flowlossdetector.cpp
+++ b/src/libflow/flowlossdetector.cpp
@@ -11,9 +11,9 @@
 
 /// A view that was last confirmed longer ago may lack an upstream that holds
 /// flows by now. A store that answers confirms the view at the end of each
-/// watch.
+/// watch; one watch may fail, or be that of a reader that is being replaced.
 constexpr milliseconds kViewAge =
-    StoreFollower::kWatchWait + StoreFollower::kAnswerTimeout;
+    2 * (StoreFollower::kWatchWait + StoreFollower::kAnswerTimeout);
 /// Number of flows without an owner at which all upstreams are assumed to have
 /// lost their flows together, provided that none of them holds an old flow. In
 /// a smaller sample, the flows of one upstream may be missing by chance.
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -18,14 +18,14 @@
 using Kind = FlowDecision::Kind;
 using State = FlowEntry::State;
 
-/// A changed view is sent to the agents at once; this interval serves agents
-/// that restarted.
-constexpr milliseconds kHeartbeatInterval{250};
 constexpr milliseconds kSweepInterval{1000};
 /// A copy of a SYN that arrives this long after the placement shows that the
 /// agent does not answer: callers repeat a SYN after 200 ms, an answer takes
 /// under 20 ms.
 constexpr milliseconds kSynAnswerTimeout{120};
+/// Agents answer a query within milliseconds. One that has not answered after
+/// this time may have been lost.
+constexpr milliseconds kQueryTimeout{100};
 /// Agents answer the first heartbeat at once; those that have not done so
 /// within this time are assumed to be down.
 constexpr milliseconds kFirstReportTimeout{150};
@@ -61,13 +61,15 @@
       m_output(output),
       m_view(std::make_shared<SiteView>()),
       m_agents(m_settings.agent_port),
+      m_subscriptions(static_cast<std::uint64_t>(m_settings.incarnation),
+                      m_settings.zone),
+      m_heartbeats(m_settings.incarnation, m_settings.zone, output),
       m_loss_detector(m_agents),
       m_retry_budget(kRetryShare, kMinRetriesPerSecond, now),
       m_search_bytes(static_cast<double>(m_settings.search_bytes_per_second),
                      static_cast<double>(m_settings.search_bytes_per_second) *
                          kSearchBurstSeconds,
                      now),
-      m_next_heartbeat(now),
       m_next_sweep(now + kSweepInterval) {}
 
 void FlowRouter::InstallView(std::shared_ptr<const SiteView> view,
@@ -78,7 +80,8 @@
     m_loss_detector.OnFirstView(now);
   }
   m_agents.Install(*m_view, now);
-  SendHeartbeats(now);
+  m_subscriptions.Update(m_agents, now);
+  m_heartbeats.OnViewChanged(m_agents, now);
 }
 
 bool FlowRouter::IsServing() const {
@@ -118,7 +121,7 @@
     if (unanswered) {
       Place(tuple, entry, datagram, now);
     } else {
-      Deliver(*entry, entry->owner, false, datagram);
+      Deliver(*entry, datagram, now);
     }
     return;
   }
@@ -145,18 +148,13 @@
   if (entry->owner) {
     entry->pending_agents.push_back(std::exchange(entry->owner, nullptr));
   }
-  std::vector<AgentPeerPtr> tried = entry->refused_by;
-  tried.insert(tried.end(), entry->pending_agents.begin(),
-               entry->pending_agents.end());
   const auto route = m_view->routes.find(tuple.route);
   const std::string* service = route == m_view->routes.end()
                                    ? nullptr
                                    : SelectService(route->second, tuple);
   AgentPeerPtr agent;
   if (service != nullptr && entry->placements < kMaxPlacements) {
-    agent =
-        SelectAgent(m_agents.ForService(*service), tuple,
-                    entry->flow_class.long_lived, tried, m_settings.zone, now);
+    agent = SelectUntriedAgent(*service, tuple, *entry, now);
   }
   if (!agent) {
     FailPlacement(tuple, entry,
@@ -172,7 +170,24 @@
   entry->placed = now;
   entry->owner = agent;
   agent->OnFlowPlaced(entry->flow_class.long_lived);
-  Deliver(*entry, agent, false, datagram);
+  Deliver(*entry, datagram, now);
+}
+
+AgentPeerPtr FlowRouter::SelectUntriedAgent(const std::string& service,
+                                            const FlowTuple& tuple,
+                                            const FlowEntry& entry,
+                                            TimePoint now) const {
+  std::vector<AgentPeerPtr> tried = entry.refused_by;
+  tried.insert(tried.end(), entry.pending_agents.begin(),
+               entry.pending_agents.end());
+  const bool long_lived = entry.flow_class.long_lived;
+  AgentPeerPtr agent = SelectAgent(m_subscriptions.ForService(service), tuple,
+                                   long_lived, tried, m_settings.zone, now);
+  if (!agent || !agent->IsPreferred(now)) {
+    agent = SelectAgent(m_agents.ForService(service), tuple, long_lived, tried,
+                        m_settings.zone, now);
+  }
+  return agent;
 }
 
 void FlowRouter::FailPlacement(const FlowTuple& tuple,
@@ -228,7 +243,7 @@
     m_flows.Erase(tuple);
     return;
   }
-  Deliver(*entry, entry->owner, false, datagram);
+  Deliver(*entry, datagram, now);
 }
 
 void FlowRouter::StartSearch(const FlowPacket& packet,
@@ -277,7 +292,13 @@
     return false;
   }
   for (const AgentPeerPtr& agent : entry.pending_agents) {
-    Deliver(entry, agent, true, datagram);
+    if (now - entry.placed >= kQueryTimeout) {
+      // Reports show whether the agent that has not answered is lost.
+      agent->OnForwarded(now);
+    }
+    m_output->SendToNode(
+        agent->address(),
+        DeliverMessage{agent->service(), true, entry.flow_class, datagram});
   }
   return true;
 }
@@ -333,12 +354,13 @@
 }
 
 void FlowRouter::Deliver(const FlowEntry& entry,
-                         const AgentPeerPtr& agent,
-                         bool search,
-                         std::span<const std::uint8_t> datagram) {
+                         std::span<const std::uint8_t> datagram,
+                         TimePoint now) {
+  AgentPeer& owner = *entry.owner;
+  owner.OnForwarded(now);
   m_output->SendToNode(
-      agent->address(),
-      DeliverMessage{agent->service(), search, entry.flow_class, datagram});
+      owner.address(),
+      DeliverMessage{owner.service(), false, entry.flow_class, datagram});
 }
 
 void FlowRouter::Reset(const FlowTuple& tuple,
@@ -436,17 +458,27 @@
                           const AgentStatus& status,
                           TimePoint now) {
   const AgentPeerPtr before = m_agents.Find(source);
+  if (before && before->IsStale(status)) {
+    // A late copy must not show an agent as alive that has been lost since.
+    Report(Kind::kDropped, {}, before.get(), "stale_report", now);
+    return;
+  }
   const AgentPhase phase = before ? before->phase() : AgentPhase::kServing;
+  const Incarnation incarnation =
+      before ? before->incarnation() : Incarnation{};
   const AgentPeerPtr agent = m_agents.OnStatus(source, status, now);
   if (!before || agent->silent()) {
     agent->set_silent(false);
     Report(Kind::kPeerBack, {}, agent.get(), "report", now);
   }
+  if (incarnation != Incarnation{} && incarnation != status.incarnation) {
+    m_heartbeats.OnAgentRestarted(*agent, now);
+  }
   if (phase != status.phase) {
     Report(Kind::kPeerPhase, {}, agent.get(), ToString(status.phase), now);
   }
   for (const SocketAddress& address : status.new_balancers) {
-    m_new_balancers[address] = now;
+    m_heartbeats.OnBalancerIntroduced(address, now);
   }
   for (const ReportedFlow& held : status.opened) {
     FlowEntry* entry = m_flows.Add(held.tuple);
@@ -497,9 +529,8 @@
     Report(Kind::kPeerSilent, {}, agent.get(), "no_report", now);
     OnAgentSilent(agent, now);
   }
-  if (now >= m_next_heartbeat) {
-    SendHeartbeats(now);
-  }
+  m_subscriptions.OnTick(m_agents, now);
+  m_heartbeats.OnTick(m_agents, now);
   if (now >= m_next_sweep) {
     m_next_sweep = now + kSweepInterval;
     const Duration idle =
@@ -530,21 +561,4 @@
   }
 }
 
-void FlowRouter::SendHeartbeats(TimePoint now) {
-  m_next_heartbeat = now + kHeartbeatInterval;
-  std::erase_if(m_new_balancers, [&](const auto& item) {
-    return now - item.second > FlowLossDetector::kDiscoveryTime;
-  });
-  std::vector<SocketAddress> introduced;
-  for (const auto& [address, at] : m_new_balancers) {
-    if (introduced.size() < kMaxNewBalancers) {
-      introduced.push_back(address);
-    }
-  }
-  for (const auto& [address, agent] : m_agents.all()) {
-    m_output->SendToNode(
-        address, agent->MakeHeartbeat(m_settings.incarnation, introduced, now));
-  }
-}
-
 }  // namespace fireflytrestle
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -2,7 +2,6 @@
 #define FIREFLYTRESTLE_LIBFLOW_FLOWROUTER_H_
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -10,10 +9,12 @@
 #include "libbase/retrybudget.h"
 #include "libbase/tokenbucket.h"
 #include "libflow/agentfailuredetector.h"
+#include "libflow/agentsubscriptions.h"
 #include "libflow/agenttable.h"
 #include "libflow/flowdecision.h"
 #include "libflow/flowlossdetector.h"
 #include "libflow/flowownertable.h"
+#include "libflow/heartbeatscheduler.h"
 #include "libflow/pendingpacketqueue.h"
 
 namespace fireflytrestle {
@@ -82,7 +83,14 @@
                     const FlowTuple& tuple,
                     std::span<const std::uint8_t> datagram,
                     TimePoint now);
-  /// Sends the SYN to the least loaded agent that has not received it yet.
+  /// Returns the least loaded agent of the service that has not received the
+  /// SYN yet: one of the subset whose load is known, else any other; null if
+  /// there is none.
+  AgentPeerPtr SelectUntriedAgent(const std::string& service,
+                                  const FlowTuple& tuple,
+                                  const FlowEntry& entry,
+                                  TimePoint now) const;
+  /// Sends the SYN to the agent that SelectUntriedAgent() returns.
   void Place(const FlowTuple& tuple,
              FlowEntry* entry,
              std::span<const std::uint8_t> datagram,
@@ -115,10 +123,10 @@
   bool TryEndSearch(const FlowTuple& tuple,
                     const FlowEntry& entry,
                     TimePoint now);
+  /// Forwards a packet to the agent that holds the flow or gets its SYN.
   void Deliver(const FlowEntry& entry,
-               const AgentPeerPtr& agent,
-               bool search,
-               std::span<const std::uint8_t> datagram);
+               std::span<const std::uint8_t> datagram,
+               TimePoint now);
   void Reset(const FlowTuple& tuple,
              std::uint32_t sequence,
              const char* reason,
@@ -142,7 +150,6 @@
   /// Resets the open idempotent flows of the agent whose packets came through
   /// this balancer, and ends searches that no other agent is left to answer.
   void OnAgentSilent(const AgentPeerPtr& agent, TimePoint now);
-  void SendHeartbeats(TimePoint now);
   /// Whether packets can be routed: a view is installed, and the agents have
   /// sent their first reports or the time for these has passed.
   bool CanRoute(TimePoint now) const;
@@ -153,9 +160,9 @@
   const PacketCodec& m_codec;
   FlowOutput* m_output;
   std::shared_ptr<const SiteView> m_view;
-  /// Balancers that agents announced, and when they last did.
-  std::map<SocketAddress, TimePoint> m_new_balancers;
   AgentTable m_agents;
+  AgentSubscriptions m_subscriptions;
+  HeartbeatScheduler m_heartbeats;
   FlowLossDetector m_loss_detector;
   FlowOwnerTable m_flows;
   AgentFailureDetector m_failure_detector;
@@ -163,7 +170,6 @@
   bool m_can_route = false;
   RetryBudget m_retry_budget;
   TokenBucket m_search_bytes;
-  TimePoint m_next_heartbeat;
   TimePoint m_next_sweep;
 };
 
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -19,9 +19,6 @@
 using State = UpstreamFlow::State;
 
 constexpr milliseconds kSweepInterval{1000};
-/// Minimum interval between two statuses. Relevant changes of load are reported
-/// at once, within this limit.
-constexpr milliseconds kMinStatusInterval{20};
 /// Number of new flows after which a status is sent early, so that the
 /// balancers see the changed load.
 constexpr std::uint32_t kMaxFlowsBeforeStatus = 4;
@@ -49,8 +46,8 @@
     : m_settings(std::move(settings)),
       m_codec(codec),
       m_output(output),
+      m_reporter(m_settings.seeds, output, now),
       m_cold_start(now),
-      m_next_status(now),
       m_next_sweep(now + kSweepInterval) {}
 
 void FlowTracker::OnNodeMessage(const SocketAddress& source,
@@ -60,6 +57,8 @@
     OnDeliver(source, *deliver, now);
   } else if (const auto* heartbeat = std::get_if<BalancerHeartbeat>(&message)) {
     OnHeartbeat(source, *heartbeat, now);
+  } else if (const auto* request = std::get_if<ReportRequest>(&message)) {
+    OnReportRequest(source, *request, now);
   } else {
     Report(Kind::kDropped, {}, source, "unexpected_message");
   }
@@ -73,6 +72,9 @@
     Report(Kind::kDropped, {}, source, "malformed");
     return;
   }
+  // A restarted agent learns of the balancers from the packets that they
+  // forward, and reports at once to get their heartbeats.
+  Introduce(source, now);
   const FlowTuple tuple{packet->source, packet->destination};
   const bool own_service = message.service == m_settings.service;
   if (!own_service && !packet->IsOpening()) {
@@ -149,6 +151,9 @@
     flow.flow_class = message.flow_class;
     flow.data_sequence = packet.sequence - 1;
   }
+  const bool moved = flow.balancer != source;
+  flow.balancer = source;
+  flow.acknowledgment = packet.acknowledgment;
   if (flow.state == State::kOpening && !packet.reset) {
     // Several upstreams may have answered the SYN. The caller opens the flow at
     // the one whose sequence number it acknowledges.
@@ -160,18 +165,17 @@
     }
     m_output->Measure(FlowMeasurement::kOpening, now - flow.opened);
     MarkOpen(tuple, &flow);
-  } else if (flow.state == State::kOpen && flow.balancer != source) {
+  } else if (flow.state == State::kOpen && moved) {
     // The packets of the flow now come through another balancer, which needs a
-    // report of the flow. One that searches for the owner gets it at the next
-    // tick.
+    // report of the flow. One that searches for the owner gets it at once,
+    // since it would send the next packet to all agents again.
     MarkOpen(tuple, &flow);
     if (message.search) {
-      m_next_status = now;
+      m_reporter.SendTo(source, MakeStatus(now), {{tuple, flow.acknowledgment}},
+                        m_balancers);
     }
   }
-  flow.balancer = source;
   flow.last_packet = now;
-  flow.acknowledgment = packet.acknowledgment;
   if (packet.fin || packet.reset) {
     flow.state = State::kClosing;
     EndRequest(&flow);
@@ -219,10 +223,8 @@
 }
 
 void FlowTracker::SendStatusSoon(TimePoint now) {
-  if (now - m_last_status >= kMinStatusInterval) {
+  if (m_reporter.Expedite(now)) {
     SendStatus(now);
-  } else {
-    m_next_status = m_last_status + kMinStatusInterval;
   }
 }
 
@@ -381,6 +383,10 @@
   if (m_phase == AgentPhase::kUpstreamDown) {
     return ReturnReason::kUpstreamDown;
   }
+  if (m_entry_revision == Revision{}) {
+    // The upstream may be in its cold start, or not be allowed to get flows.
+    return ReturnReason::kUpstreamCold;
+  }
   if (m_draining) {
     return ReturnReason::kUpstreamDraining;
   }
@@ -396,14 +402,28 @@
     SendAllFlows(source, now);
   }
   for (const SocketAddress& address : heartbeat.new_balancers) {
-    if (m_balancers.OnIntroduced(address, now)) {
-      Report(Kind::kPeerBack, {}, address, "introduced");
-      SendAllFlows(address, now);
-    }
+    Introduce(address, now);
   }
   OnUpstreamEntry(source, heartbeat, now);
 }
 
+void FlowTracker::Introduce(const SocketAddress& balancer, TimePoint now) {
+  if (m_balancers.OnIntroduced(balancer, now)) {
+    Report(Kind::kPeerBack, {}, balancer, "introduced");
+    SendAllFlows(balancer, now);
+  }
+}
+
+void FlowTracker::OnReportRequest(const SocketAddress& source,
+                                  const ReportRequest& request,
+                                  TimePoint now) {
+  const bool was_reporting = m_balancers.IsReportDue(source, now);
+  m_balancers.OnReportRequest(source, request, now);
+  if (!was_reporting && m_balancers.IsReportDue(source, now)) {
+    m_reporter.SendTo(source, MakeStatus(now), {}, m_balancers);
+  }
+}
+
 void FlowTracker::OnUpstreamEntry(const SocketAddress& source,
                                   const BalancerHeartbeat& heartbeat,
                                   TimePoint now) {
@@ -461,7 +481,7 @@
   }
   ExpireRequests(now);
   ReleaseRequests(now);
-  if (now >= m_next_status) {
+  if (m_reporter.IsDue(now)) {
     SendStatus(now);
   }
 }
@@ -492,7 +512,7 @@
              : m_settings.flow_lifetime;
 }
 
-AgentStatus FlowTracker::MakeStatus(TimePoint now) const {
+AgentStatus FlowTracker::MakeStatus(TimePoint now) {
   AgentStatus status;
   status.incarnation = m_settings.incarnation;
   status.service = m_settings.service;
@@ -500,7 +520,7 @@
   status.phase = m_phase;
   status.running =
       m_running + static_cast<std::uint32_t>(m_pending_requests.size());
-  status.new_balancers = m_balancers.NewBalancers(now);
+  status.new_balancers = m_balancers.NextNewBalancers(now);
   for (const auto& [tuple, flow] : m_flows) {
     const bool counts =
         flow.state == State::kOpening || flow.state == State::kOpen;
@@ -518,42 +538,24 @@
 }
 
 void FlowTracker::SendStatus(TimePoint now) {
-  m_last_status = now;
-  m_next_status = now + AgentFailureDetector::kReportInterval;
   m_placed_since_status = 0;
-  AgentStatus status = MakeStatus(now);
-  const std::vector<SocketAddress> known = m_balancers.Addresses();
-  const std::vector<SocketAddress>& receivers =
-      known.empty() ? m_settings.seeds : known;
-  do {
-    const std::size_t count = std::min(m_opened.size(), kMaxFlowsPerStatus);
-    status.opened.assign(m_opened.end() - static_cast<std::ptrdiff_t>(count),
-                         m_opened.end());
-    m_opened.resize(m_opened.size() - count);
-    for (const SocketAddress& address : receivers) {
-      m_output->SendToNode(address, status);
-    }
-  } while (!m_opened.empty());
+  m_reporter.Send(MakeStatus(now), m_balancers, now);
 }
 
 void FlowTracker::SendAllFlows(const SocketAddress& balancer, TimePoint now) {
-  AgentStatus status = MakeStatus(now);
+  std::vector<ReportedFlow> open;
   for (const auto& [tuple, flow] : m_flows) {
-    if (flow.state != State::kOpen) {
-      continue;
-    }
-    status.opened.push_back({tuple, flow.acknowledgment});
-    if (status.opened.size() == kMaxFlowsPerStatus) {
-      m_output->SendToNode(balancer, status);
-      status.opened.clear();
+    if (flow.state == State::kOpen &&
+        m_balancers.CanReceiveFlowsOf(balancer, flow.balancer)) {
+      open.push_back({tuple, flow.acknowledgment});
     }
   }
-  m_output->SendToNode(balancer, status);
+  m_reporter.SendTo(balancer, MakeStatus(now), open, m_balancers);
 }
 
 void FlowTracker::MarkOpen(const FlowTuple& tuple, UpstreamFlow* flow) {
   flow->state = State::kOpen;
-  m_opened.push_back({tuple, flow->acknowledgment});
+  m_reporter.AddOpened({tuple, flow->acknowledgment}, flow->balancer);
 }
 
 void FlowTracker::Reset(const FlowTuple& tuple,
--- a/src/libflow/flowtracker.h
+++ b/src/libflow/flowtracker.h
@@ -11,6 +11,7 @@
 #include "libflow/flowdecision.h"
 #include "libflow/nodemessage.h"
 #include "libflow/pendingrequestqueue.h"
+#include "libflow/statusreporter.h"
 #include "libflow/upstreamflow.h"
 #include "libflow/upstreamhealth.h"
 
@@ -143,9 +144,14 @@
   /// it open.
   std::chrono::milliseconds AgeOf(const UpstreamFlow& flow,
                                   TimePoint now) const;
-  AgentStatus MakeStatus(TimePoint now) const;
+  AgentStatus MakeStatus(TimePoint now);
   void SendStatus(TimePoint now);
   void SendAllFlows(const SocketAddress& balancer, TimePoint now);
+  /// Adds a balancer and reports to it, unless it is known.
+  void Introduce(const SocketAddress& balancer, TimePoint now);
+  void OnReportRequest(const SocketAddress& source,
+                       const ReportRequest& request,
+                       TimePoint now);
   /// Applies the upstream's entry in the balancer's view, unless a newer
   /// revision has been applied.
   void OnUpstreamEntry(const SocketAddress& source,
@@ -160,9 +166,8 @@
   FlowOutput* m_output;
   AgentPhase m_phase = AgentPhase::kServing;
   UpstreamFlowTable m_flows;
-  /// Flows to report in the next status.
-  std::vector<ReportedFlow> m_opened;
   BalancerTable m_balancers;
+  StatusReporter m_reporter;
   Revision m_entry_revision{};
   bool m_draining = false;
   ColdStartLimiter m_cold_start;
@@ -170,8 +175,6 @@
   UpstreamHealth m_health;
   /// Flows with \ref UpstreamFlow::running.
   std::uint32_t m_running = 0;
-  TimePoint m_next_status;
-  TimePoint m_last_status{};
   std::uint32_t m_placed_since_status = 0;
   TimePoint m_next_sweep;
 };
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <variant>
@@ -84,6 +85,17 @@
   std::vector<SocketAddress> new_balancers;
 };
 
+/// Balancer to agent: how often the balancer wants reports. Until one arrives,
+/// the agent sends the balancer every report and every flow, as balancers of
+/// earlier versions expect.
+struct ReportRequest {
+  /// Zone of the balancer; the agent reports flows whose packets come from this
+  /// zone.
+  std::string_view zone;
+  /// Interval of regular reports; 0 for none.
+  std::chrono::milliseconds interval{0};
+};
+
 enum class AgentPhase : std::uint8_t {
   kServing = 1,
   /// The upstream's process has ended.
@@ -120,6 +132,12 @@
   std::vector<ReportedFlow> opened;
   /// Balancers that appeared recently.
   std::vector<SocketAddress> new_balancers;
+  /// Interval of the regular reports to the receiver, 0 if none follow; empty
+  /// for a receiver that has sent no ReportRequest.
+  std::optional<std::chrono::milliseconds> report_interval;
+  /// Increases with each report of the agent's current run. Sent only together
+  /// with \ref report_interval; 0 if unknown.
+  std::uint64_t number = 0;
 };
 
 using NodeMessage = std::variant<DeliverMessage,
@@ -127,7 +145,8 @@
                                  FlowUnknownMessage,
                                  BalancerHeartbeat,
                                  AgentStatus,
-                                 SharedChanges>;
+                                 SharedChanges,
+                                 ReportRequest>;
 
 }  // namespace fireflytrestle
 
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -1,5 +1,7 @@
 #include "libflow/nodemessagecodec.h"
 
+#include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -17,6 +19,7 @@
   kBalancerHeartbeat,
   kAgentStatus,
   kSharedChanges,
+  kReportRequest,
   kCount,
 };
 
@@ -25,9 +28,12 @@
 constexpr std::uint32_t kFlowUnknownFields = 5;
 constexpr std::uint32_t kHeartbeatFields = 9;
 constexpr std::uint32_t kStatusFields = 10;
+/// The same for a status with a report interval.
+constexpr std::uint32_t kNumberedStatusFields = 12;
+constexpr std::uint32_t kReportRequestFields = 3;
 constexpr std::uint32_t kFlowFields = 5;
 constexpr std::uint32_t kAddressFields = 2;
-constexpr std::uint32_t kSharedChangesFields = 6;
+constexpr std::uint32_t kSharedChangesFields = 8;
 constexpr std::uint32_t kItemFields = 3;
 /// Messages with longer names of services and zones are rejected.
 constexpr std::size_t kMaxNameBytes = 200;
@@ -110,10 +116,11 @@
   }
 }
 
-std::vector<SocketAddress> ReadAddresses(MsgpackReader* reader) {
+std::vector<SocketAddress> ReadAddresses(MsgpackReader* reader,
+                                         std::size_t max_count) {
   std::vector<SocketAddress> addresses;
   const std::uint32_t count = reader->ReadArray();
-  if (count > kMaxNewBalancers) {
+  if (count > max_count) {
     reader->Fail(WireError::kOutOfRange);
     return addresses;
   }
@@ -145,7 +152,8 @@
 }
 
 void Write(MsgpackWriter* writer, const AgentStatus& message) {
-  WriteHead(writer, Kind::kAgentStatus, kStatusFields);
+  WriteHead(writer, Kind::kAgentStatus,
+            message.report_interval ? kNumberedStatusFields : kStatusFields);
   writer->WriteUint(static_cast<std::uint64_t>(message.incarnation));
   WriteName(writer, message.service);
   WriteName(writer, message.zone);
@@ -158,10 +166,21 @@
     Write(writer, flow);
   }
   WriteAddresses(writer, message.new_balancers);
+  if (message.report_interval) {
+    WriteTime(writer, *message.report_interval);
+    writer->WriteUint(message.number);
+  }
+}
+
+void Write(MsgpackWriter* writer, const ReportRequest& message) {
+  WriteHead(writer, Kind::kReportRequest, kReportRequestFields);
+  WriteName(writer, message.zone);
+  WriteTime(writer, message.interval);
 }
 
 void Write(MsgpackWriter* writer, const SharedChanges& message) {
   WriteHead(writer, Kind::kSharedChanges, kSharedChangesFields);
+  WriteName(writer, message.prefix);
   writer->WriteUint(static_cast<std::uint64_t>(message.sender));
   writer->WriteBool(message.reads_store);
   writer->WriteUint(static_cast<std::uint64_t>(message.after));
@@ -177,6 +196,7 @@
       writer->WriteNil();
     }
   }
+  WriteAddresses(writer, message.peers);
 }
 
 DeliverMessage ReadDeliver(MsgpackReader* reader) {
@@ -212,7 +232,7 @@
   reader->Read(&message.slots, 0, kMax32);
   message.cold_left = ReadTime(reader);
   reader->Read(&message.cold_rate_milli, 0, kMax32);
-  message.new_balancers = ReadAddresses(reader);
+  message.new_balancers = ReadAddresses(reader, kMaxNewBalancers);
   return message;
 }
 
@@ -242,7 +262,21 @@
   for (std::uint32_t i = 0; i < count && reader->ok(); ++i) {
     message.opened.push_back(ReadFlow(reader));
   }
-  message.new_balancers = ReadAddresses(reader);
+  message.new_balancers = ReadAddresses(reader, kMaxNewBalancers);
+  return message;
+}
+
+AgentStatus ReadNumberedStatus(MsgpackReader* reader) {
+  AgentStatus message = ReadStatus(reader);
+  message.report_interval = ReadTime(reader);
+  reader->Read(&message.number, 0, kMax64);
+  return message;
+}
+
+ReportRequest ReadReportRequest(MsgpackReader* reader) {
+  ReportRequest message;
+  message.zone = ReadName(reader);
+  message.interval = ReadTime(reader);
   return message;
 }
 
@@ -253,6 +287,7 @@
 
 SharedChanges ReadSharedChanges(MsgpackReader* reader) {
   SharedChanges message;
+  message.prefix = ReadName(reader);
   reader->Read(&message.sender, 0, kMax64);
   message.reads_store = reader->ReadBool();
   reader->Read(&message.after, 0, kMax64);
@@ -271,10 +306,12 @@
       item.value = ReadText(reader);
     }
   }
+  message.peers = ReadAddresses(reader, kMaxSharedPeers);
   return message;
 }
 
 struct MessageFormat {
+  Kind kind;
   std::uint32_t fields;
   NodeMessage (*read)(MsgpackReader*);
 };
@@ -285,12 +322,14 @@
 }
 
 constexpr MessageFormat kMessageFormats[] = {
-    {kDeliverFields, ReadAs<ReadDeliver>},
-    {kReturnFields, ReadAs<ReadReturn>},
-    {kFlowUnknownFields, ReadAs<ReadFlowUnknown>},
-    {kHeartbeatFields, ReadAs<ReadHeartbeat>},
-    {kStatusFields, ReadAs<ReadStatus>},
-    {kSharedChangesFields, ReadAs<ReadSharedChanges>},
+    {Kind::kDeliver, kDeliverFields, ReadAs<ReadDeliver>},
+    {Kind::kReturn, kReturnFields, ReadAs<ReadReturn>},
+    {Kind::kFlowUnknown, kFlowUnknownFields, ReadAs<ReadFlowUnknown>},
+    {Kind::kBalancerHeartbeat, kHeartbeatFields, ReadAs<ReadHeartbeat>},
+    {Kind::kAgentStatus, kStatusFields, ReadAs<ReadStatus>},
+    {Kind::kAgentStatus, kNumberedStatusFields, ReadAs<ReadNumberedStatus>},
+    {Kind::kSharedChanges, kSharedChangesFields, ReadAs<ReadSharedChanges>},
+    {Kind::kReportRequest, kReportRequestFields, ReadAs<ReadReportRequest>},
 };
 
 }  // namespace
@@ -344,12 +383,17 @@
     std::span<const std::uint8_t> datagram) {
   MsgpackReader reader(datagram);
   const std::uint32_t fields = reader.ReadArray();
-  const std::uint64_t kind =
-      reader.ReadUint(1, static_cast<std::uint64_t>(Kind::kCount) - 1);
-  if (!reader.ok() || kMessageFormats[kind - 1].fields != fields) {
+  Kind kind{};
+  reader.Read(&kind, 1, static_cast<std::uint64_t>(Kind::kCount) - 1);
+  const auto* format =
+      std::find_if(std::begin(kMessageFormats), std::end(kMessageFormats),
+                   [&](const MessageFormat& each) {
+                     return each.kind == kind && each.fields == fields;
+                   });
+  if (!reader.ok() || format == std::end(kMessageFormats)) {
     return std::nullopt;
   }
-  NodeMessage message = kMessageFormats[kind - 1].read(&reader);
+  NodeMessage message = format->read(&reader);
   if (reader.Finish() != WireError::kNone) {
     return std::nullopt;
   }
--- a/src/libnet/storereader.cpp
+++ b/src/libnet/storereader.cpp
@@ -54,16 +54,11 @@
       m_callbacks(std::move(callbacks)),
       m_random(DrawSeed()),
       m_state(decoder, [this](const SiteChange& change) { LogChange(change); }),
-      m_sharing(std::move(sharing)),
-      m_relay(m_sharing.self) {
+      m_sharing(std::move(sharing)) {
   for (const std::string& prefix : prefixes) {
-    const bool shared = m_sharing.send && prefix == m_sharing.prefix;
-    m_followers.push_back(std::make_unique<StoreFollower>(
-        prefix, &m_state, &m_random,
-        shared ? StoreFollower::kSharingWatchWait : StoreFollower::kWatchWait));
-    if (shared) {
-      m_shared = m_followers.back().get();
-    }
+    m_parts.push_back(
+        std::make_unique<Part>(Part{{prefix, &m_state, &m_random},
+                                    ChangeRelay(m_sharing.self, &m_random)}));
   }
 }
 
@@ -77,97 +72,106 @@
   if (m_state.Expire(m_clock.Now())) {
     m_callbacks.changed(m_state.View());
   }
-  if (m_shared != nullptr) {
-    Share();
-  }
-  for (const auto& follower : m_followers) {
-    Read(follower.get());
+  for (const auto& part : m_parts) {
+    Share(part.get());
+    Read(part.get());
   }
 }
 
-void StoreReader::Share() {
+void StoreReader::Share(Part* part) {
   const TimePoint now = m_clock.Now();
-  const bool passive = !m_relay.MustReadStore(now);
-  if (passive != m_shared->passive()) {
+  StoreFollower& follower = part->follower;
+  const bool passive = !part->relay.MustReadStore(now);
+  if (passive != follower.passive()) {
     m_logger->Write(LogLevel::kInfo,
                     passive ? "store_told_by_others" : "store_read_here",
                     passive ? "other processes read this part of the store"
                             : "too few other processes read this part of "
                               "the store; reading it here",
-                    {{LogKey::kSource, m_shared->prefix()}});
+                    {{LogKey::kSource, follower.prefix()}});
   }
-  m_shared->set_passive(passive);
-  if (m_relay.TakeDueHeartbeat(now)) {
-    const Revision position = m_shared->position();
-    m_sharing.send(
-        m_relay.Peers(now),
-        {m_sharing.self, m_shared->ReadsStore(now), position, position, {}});
+  follower.SetPassive(passive, now);
+  if (part->relay.TakeDueHeartbeat(now)) {
+    SharedChanges heartbeat = follower.MakeHeartbeat(now);
+    heartbeat.sender = m_sharing.self;
+    heartbeat.peers = part->relay.NextPeerSample(now);
+    m_sharing.send(part->relay.HeartbeatReceivers(now), heartbeat);
   }
 }
 
 void StoreReader::OnIntroduced(const SocketAddress& peer) {
-  m_relay.OnIntroduced(peer, m_clock.Now());
+  for (const auto& part : m_parts) {
+    part->relay.OnIntroduced(peer, m_clock.Now());
+  }
 }
 
 void StoreReader::OnSharedChanges(const SocketAddress& peer,
                                   const SharedChanges& changes) {
-  if (m_shared == nullptr) {
+  const auto position = std::find_if(
+      m_parts.begin(), m_parts.end(), [&](const std::unique_ptr<Part>& part) {
+        return part->follower.prefix() == changes.prefix;
+      });
+  if (position == m_parts.end()) {
     return;
   }
+  Part* part = position->get();
   const TimePoint now = m_clock.Now();
-  m_relay.OnPeerMessage(peer, changes, now);
-  if (m_shared->OnSharedChanges(changes, now)) {
+  part->relay.OnPeerMessage(peer, changes, now);
+  if (part->follower.OnSharedChanges(changes, now)) {
     m_callbacks.changed(m_state.View());
   }
   Confirm();
-  Read(m_shared);
+  Read(part);
 }
 
-void StoreReader::SendChanges(Revision after, const StoreAnswer& answer) {
-  const std::vector<SocketAddress> peers = m_relay.Peers(m_clock.Now());
+void StoreReader::SendChanges(Part* part,
+                              Revision after,
+                              const StoreAnswer& answer) {
+  const std::vector<SocketAddress> peers = part->relay.Peers(m_clock.Now());
   for (SharedChanges& changes : ChangeRelay::SplitIntoMessages(
-           after, m_shared->position(), answer.items)) {
+           after, part->follower.position(), answer.items)) {
+    changes.prefix = part->follower.prefix();
     changes.sender = m_sharing.self;
     m_sharing.send(peers, changes);
   }
 }
 
-void StoreReader::Read(StoreFollower* follower) {
-  const StoreFollower::Read read = follower->OnTick(m_clock.Now());
-  auto handler = [this, follower,
-                  number = read.number](const StoreAnswer& answer) {
-    OnAnswer(follower, number, answer);
+void StoreReader::Read(Part* part) {
+  const StoreFollower& follower = part->follower;
+  const StoreFollower::Read read = part->follower.OnTick(m_clock.Now());
+  auto handler = [this, part, number = read.number](const StoreAnswer& answer) {
+    OnAnswer(part, number, answer);
   };
   switch (read.kind) {
     case StoreFollower::Read::Kind::kNone:
       return;
     case StoreFollower::Read::Kind::kList:
-      m_client->List(follower->prefix(), read.after_key, std::move(handler));
+      m_client->List(follower.prefix(), read.after_key, std::move(handler));
       break;
     case StoreFollower::Read::Kind::kWatch:
-      m_client->Watch(follower->prefix(), read.after, read.wait,
+      m_client->Watch(follower.prefix(), read.after, read.wait,
                       std::move(handler));
       break;
   }
   ++m_reads;
 }
 
-void StoreReader::OnAnswer(StoreFollower* follower,
+void StoreReader::OnAnswer(Part* part,
                            std::uint64_t number,
                            const StoreAnswer& answer) {
-  const Revision before = follower->position();
-  const bool watched = follower->listed();
-  const bool changed = follower->OnAnswer(number, answer, m_clock.Now());
+  StoreFollower& follower = part->follower;
+  const Revision before = follower.unchanged_since();
+  const bool watched = follower.listed();
+  const bool changed = follower.OnAnswer(number, answer, m_clock.Now());
   // Sends only changes from a watch to the peers, not the pages of a listing.
-  if (follower == m_shared && watched && !follower->passive() &&
-      !answer.items.empty()) {
-    SendChanges(before, answer);
+  if (watched && !follower.passive() && !answer.items.empty()) {
+    SendChanges(part, before, answer);
   }
   if (!answer.problem.empty()) {
     ++m_failures;
     m_logger->Write(LogLevel::kWarning, "store_read_failed",
                     "reading the store failed",
-                    {{LogKey::kSource, follower->prefix()},
+                    {{LogKey::kSource, follower.prefix()},
                      {LogKey::kError, answer.problem}});
   }
   const bool reached = IsCurrent();
@@ -179,29 +183,29 @@
         reached ? "the view of the store is up to date"
                 : "the view of the store is out of date; the last known view "
                   "stays in effect",
-        {{LogKey::kSource, follower->prefix()}});
+        {{LogKey::kSource, follower.prefix()}});
   }
   if (changed) {
     m_callbacks.changed(m_state.View());
   }
   Confirm();
-  Read(follower);
+  Read(part);
 }
 
 bool StoreReader::IsCurrent() const {
   const TimePoint now = m_clock.Now();
-  return std::all_of(m_followers.begin(), m_followers.end(),
-                     [&](const auto& each) { return each->IsCurrent(now); });
+  return std::all_of(m_parts.begin(), m_parts.end(), [&](const auto& each) {
+    return each->follower.IsCurrent(now);
+  });
 }
 
 void StoreReader::Confirm() {
   if (IsCurrent()) {
-    const auto oldest =
-        std::min_element(m_followers.begin(), m_followers.end(),
-                         [](const auto& a, const auto& b) {
-                           return a->last_contact() < b->last_contact();
-                         });
-    m_callbacks.confirmed((*oldest)->last_contact());
+    const auto oldest = std::min_element(
+        m_parts.begin(), m_parts.end(), [](const auto& a, const auto& b) {
+          return a->follower.last_contact() < b->follower.last_contact();
+        });
+    m_callbacks.confirmed((*oldest)->follower.last_contact());
   }
 }
 
--- a/src/libnet/storereader.h
+++ b/src/libnet/storereader.h
@@ -33,10 +33,8 @@
     std::function<void(TimePoint)> confirmed;
   };
 
-  /// How this process shares its reads of one part of the store with other
-  /// processes. Nothing is shared if \ref send is empty.
+  /// How this process shares its reads of the store with other processes.
   struct Sharing {
-    std::string prefix;
     Incarnation self{};
     std::function<void(const std::vector<SocketAddress>& peers,
                        const SharedChanges& changes)>
@@ -63,16 +61,20 @@
   void WriteMetrics(MetricsWriter* metrics) const;
 
  private:
+  /// A part of the store, and the processes with which it is shared.
+  struct Part {
+    StoreFollower follower;
+    ChangeRelay relay;
+  };
+
   void Tick();
-  void Read(StoreFollower* follower);
-  void OnAnswer(StoreFollower* follower,
-                std::uint64_t number,
-                const StoreAnswer& answer);
+  void Read(Part* part);
+  void OnAnswer(Part* part, std::uint64_t number, const StoreAnswer& answer);
   void LogChange(const SiteChange& change);
-  /// Decides whether this process reads the shared part itself, and sends a
-  /// heartbeat to the peers if one is due.
-  void Share();
-  void SendChanges(Revision after, const StoreAnswer& answer);
+  /// Decides whether this process reads the part itself, and sends a heartbeat
+  /// to the peers if one is due.
+  void Share(Part* part);
+  void SendChanges(Part* part, Revision after, const StoreAnswer& answer);
   /// Calls Callbacks::confirmed with the time of the oldest contact, if the
   /// view of every part is current.
   void Confirm();
@@ -84,11 +86,8 @@
   Callbacks m_callbacks;
   SeededRandom m_random;
   SiteState m_state;
-  std::vector<std::unique_ptr<StoreFollower>> m_followers;
   Sharing m_sharing;
-  ChangeRelay m_relay;
-  /// Follower of the shared part; null if no part is shared.
-  StoreFollower* m_shared = nullptr;
+  std::vector<std::unique_ptr<Part>> m_parts;
   std::uint64_t m_reads = 0;
   std::uint64_t m_failures = 0;
   bool m_reached = false;
--- a/src/libsite/changerelay.h
+++ b/src/libsite/changerelay.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "libbase/clock.h"
@@ -11,13 +12,21 @@
 
 namespace fireflytrestle {
 
+class RandomSource;
+
 /// \brief Elects the processes that read a part of the store and keeps the list
 /// of peers to which they send the changes.
 ///
-/// The processes with the lowest incarnations read the store and send the
-/// changes to all others. A process that receives no message from any reader
-/// with a lower incarnation reads the store itself. The loss of a reader
-/// therefore costs a few additional reads, but no changes.
+/// A few processes read the store and send the changes to all others. A process
+/// that knows of too few readers becomes one, after a random delay, so that one
+/// process takes over and not all. If too many read, those with the highest
+/// incarnations stop. The loss of a reader therefore costs a few additional
+/// reads, but no changes.
+///
+/// Only readers send heartbeats to all processes; the others answer the
+/// readers. The number of messages per process therefore does not grow with the
+/// number of processes, except for the readers' own. Readers also name their
+/// peers to the other processes, so that a successor knows them.
 class ChangeRelay {
  public:
   /// Two, so that changes still arrive without delay when one reader is lost.
@@ -27,7 +36,8 @@
   /// process that is briefly busy.
   static constexpr std::chrono::milliseconds kHeartbeatTimeout{1200};
 
-  explicit ChangeRelay(Incarnation self) : m_self(self) {}
+  /// \p random draws the delays before this process takes over as a reader.
+  ChangeRelay(Incarnation self, RandomSource* random);
 
   /// Called when a third process reports the address of \p peer.
   void OnIntroduced(const SocketAddress& peer, TimePoint now);
@@ -36,13 +46,22 @@
                      const SharedChanges& changes,
                      TimePoint now);
 
-  /// Returns whether this process has to read the store itself, by its
-  /// incarnation and the readers from which messages arrived recently.
+  /// Returns whether this process has to read the store itself, by the readers
+  /// from which messages arrived recently.
   bool MustReadStore(TimePoint now);
 
-  /// Returns the processes to which heartbeats and changes are sent.
+  /// Returns the processes to which changes are sent.
   std::vector<SocketAddress> Peers(TimePoint now);
 
+  /// Returns the processes to which heartbeats are sent: all peers of a reader,
+  /// only the readers for any other process.
+  std::vector<SocketAddress> HeartbeatReceivers(TimePoint now);
+
+  /// Returns the next processes that a reader names in its heartbeats, at most
+  /// kMaxSharedPeers; all that have sent messages recently in turn. Empty for
+  /// any other process.
+  std::vector<SocketAddress> NextPeerSample(TimePoint now);
+
   /// Returns whether a heartbeat is due, and schedules the next one if it is.
   bool TakeDueHeartbeat(TimePoint now);
 
@@ -60,11 +79,26 @@
     TimePoint last_message_at{};
     Incarnation incarnation{};
     bool reads_store = false;
+
+    bool IsActiveReader(TimePoint now) const {
+      return reads_store && now - last_message_at < kHeartbeatTimeout;
+    }
   };
 
   Incarnation m_self;
   std::map<SocketAddress, Peer> m_peers;
-  bool m_reading = true;
+  /// Address of this process, once a message of its own has reached it.
+  std::optional<SocketAddress> m_own_address;
+  /// Last process that NextPeerSample() returned.
+  SocketAddress m_last_sampled;
+  bool m_reading = false;
+  /// Share of the longest delay after which this process takes over.
+  double m_delay_share;
+  /// Time of the first decision.
+  std::optional<TimePoint> m_started;
+  /// Since when there have been no readers, or too few.
+  std::optional<TimePoint> m_none_since;
+  std::optional<TimePoint> m_too_few_since;
   TimePoint m_next_heartbeat{};
 };
 
--- a/src/libsite/storefollower.cpp
+++ b/src/libsite/storefollower.cpp
@@ -26,12 +26,8 @@
 
 StoreFollower::StoreFollower(std::string prefix,
                              SiteState* state,
-                             RandomSource* random,
-                             milliseconds watch_wait)
-    : m_prefix(std::move(prefix)),
-      m_state(state),
-      m_random(random),
-      m_watch_wait(watch_wait) {}
+                             RandomSource* random)
+    : m_prefix(std::move(prefix)), m_state(state), m_random(random) {}
 
 StoreFollower::Read StoreFollower::OnTick(TimePoint now) {
   const bool updated_by_peers = m_passive && m_listed && !m_missed_changes;
@@ -50,8 +46,10 @@
   read.after = m_position;
   // After a failure the store has to answer immediately, to show that it is
   // available again. A passive process only fetches the changes that it missed.
-  const bool at_once = m_failures > 0 || m_passive;
-  read.wait = at_once ? milliseconds(0) : m_watch_wait;
+  // One that takes over has to find out whether it reaches the store.
+  const bool at_once =
+      m_failures > 0 || m_passive || m_last_read < m_active_since;
+  read.wait = at_once ? milliseconds(0) : kWatchWait;
   return read;
 }
 
@@ -100,6 +98,7 @@
   }
   m_listed = true;
   m_position = m_list_as_of;
+  m_unchanged_since = m_list_as_of;
   return m_state->Replace(m_prefix, items, m_list_as_of, now);
 }
 
@@ -110,6 +109,7 @@
   }
   m_position = std::max(m_position, answer.as_of);
   if (!answer.items.empty()) {
+    m_unchanged_since = m_position;
     m_next_read = now + kBatchWindow;
   }
   return changed;
@@ -121,9 +121,17 @@
   return m_listed && (m_failures == 0 || shared_recently);
 }
 
+void StoreFollower::SetPassive(bool passive, TimePoint now) {
+  if (m_passive && !passive) {
+    m_active_since = now;
+  }
+  m_passive = passive;
+}
+
 bool StoreFollower::ReadsStore(TimePoint now) const {
   return !m_passive && m_listed && m_failures == 0 &&
-         now - m_last_read <= kSharingWatchWait + kAnswerTimeout;
+         (now - m_last_read <= kWatchWait + kAnswerTimeout ||
+          now - m_active_since <= kAnswerTimeout);
 }
 
 bool StoreFollower::OnSharedChanges(const SharedChanges& changes,
@@ -141,6 +149,9 @@
   }
   m_missed_changes = changes.after > m_position;
   if (!m_missed_changes) {
+    if (!changes.items.empty() && changes.as_of > m_position) {
+      m_unchanged_since = changes.as_of;
+    }
     m_position = std::max(m_position, changes.as_of);
     m_last_contact = now;
     m_last_shared = now;
@@ -148,6 +159,15 @@
   return changed;
 }
 
+SharedChanges StoreFollower::MakeHeartbeat(TimePoint now) const {
+  SharedChanges heartbeat;
+  heartbeat.prefix = m_prefix;
+  heartbeat.reads_store = ReadsStore(now);
+  heartbeat.after = m_unchanged_since;
+  heartbeat.as_of = m_position;
+  return heartbeat;
+}
+
 void StoreFollower::OnFailure(TimePoint now) {
   ++m_failures;
   const int doublings = std::min(m_failures - 1, kMaxDoublings);
--- a/src/libsite/storefollower.h
+++ b/src/libsite/storefollower.h
@@ -36,22 +36,15 @@
   };
 
   /// How long a watch waits for changes. A dead connection is detected only at
-  /// the end of this time plus kAnswerTimeout, which has to be within the 4 s
+  /// the end of this time plus kAnswerTimeout. Together with the time after
+  /// which another process replaces the reader, this has to be within the 4 s
   /// after which an instance counts as undisturbed again.
-  static constexpr std::chrono::milliseconds kWatchWait{3000};
-  /// The same for a process that sends the changes to others. It is shorter,
-  /// because the others detect a dead connection of their reader only as fast
-  /// as the reader itself.
-  static constexpr std::chrono::milliseconds kSharingWatchWait{1000};
+  static constexpr std::chrono::milliseconds kWatchWait{1000};
   /// A read has failed if its answer does not arrive within its wait plus this
   /// time.
   static constexpr std::chrono::milliseconds kAnswerTimeout{800};
 
-  /// \p watch_wait is how long a watch waits for changes.
-  StoreFollower(std::string prefix,
-                SiteState* state,
-                RandomSource* random,
-                std::chrono::milliseconds watch_wait = kWatchWait);
+  StoreFollower(std::string prefix, SiteState* state, RandomSource* random);
 
   /// Returns the next read if one is due.
   Read OnTick(TimePoint now);
@@ -63,16 +56,25 @@
   /// view changed.
   bool OnSharedChanges(const SharedChanges& changes, TimePoint now);
 
+  /// Returns a message without changes, from which the receivers see whether
+  /// they missed any.
+  SharedChanges MakeHeartbeat(TimePoint now) const;
+
   /// A passive follower relies on other processes for changes and reads from
   /// the store only the first listing and changes that it missed.
-  void set_passive(bool passive) { m_passive = passive; }
+  void SetPassive(bool passive, TimePoint now);
   bool passive() const { return m_passive; }
   /// Whether this process reads the store itself and has received an answer
-  /// within the last kSharingWatchWait plus kAnswerTimeout.
+  /// within the last kWatchWait plus kAnswerTimeout, or began to read within
+  /// the last kAnswerTimeout.
   bool ReadsStore(TimePoint now) const;
 
   /// Revision up to which all changes have been received.
   Revision position() const { return m_position; }
+  /// Revision after which nothing has changed up to position(). The revision of
+  /// the store also increases with changes of its other parts, which do not
+  /// concern the processes that follow this one.
+  Revision unchanged_since() const { return m_unchanged_since; }
   bool listed() const { return m_listed; }
 
   const std::string& prefix() const { return m_prefix; }
@@ -92,10 +94,11 @@
   std::string m_prefix;
   SiteState* m_state;
   RandomSource* m_random;
-  std::chrono::milliseconds m_watch_wait;
   bool m_listed = false;
   bool m_read_pending = false;
   bool m_passive = false;
+  /// When this process began to read the store itself.
+  TimePoint m_active_since{};
   /// Changes before the last message of another process did not arrive here.
   bool m_missed_changes = false;
   std::uint64_t m_read_number = 0;
@@ -106,6 +109,7 @@
   int m_failures = 0;
   /// Revision from which the next watch starts.
   Revision m_position{};
+  Revision m_unchanged_since{};
   /// Items of the pages received so far of a listing in progress.
   std::vector<StoreItem> m_pages;
   Revision m_list_as_of{};
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -46,8 +46,16 @@
                     const NodeMessage& message) override {
       std::vector<std::uint8_t> bytes(2000);
       bytes.resize(EncodeNodeMessage(message, bytes));
-      m_site->delivered +=
-          std::holds_alternative<DeliverMessage>(message) ? 1 : 0;
+      if (const auto* status = std::get_if<AgentStatus>(&message);
+          status != nullptr && m_site->on_status) {
+        m_site->on_status(m_self, *status);
+      }
+      const bool is_packet = std::holds_alternative<DeliverMessage>(message);
+      m_site->delivered += is_packet ? 1 : 0;
+      if (!is_packet) {
+        ++m_site->control_sent[m_self];
+        ++m_site->control_received[node];
+      }
       m_site->m_datagrams_in_flight.push_back({m_self, node, std::move(bytes)});
     }
     void SendToUpstream(std::span<const std::uint8_t> packet) override;
@@ -92,9 +100,17 @@
     bool listed = true;
   };
 
+  /// Number of zones over which balancers and agents are distributed in turn.
+  struct Zones {
+    std::size_t balancers = 1;
+    std::size_t agents = 2;
+  };
+
   explicit FlowSite(std::size_t balancer_count,
                     std::size_t agent_count,
-                    std::uint32_t slots = 3) {
+                    std::uint32_t slots = 3,
+                    Zones zones = {1, 2})
+      : m_zones(zones) {
     RouteSettings idempotent_route;
     idempotent_route.address = kRoute;
     idempotent_route.idempotent = true;
@@ -137,7 +153,7 @@
     Balancer& balancer = *balancers[index];
     FlowRouter::Settings settings;
     settings.incarnation = Incarnation{++m_incarnations};
-    settings.zone = "a";
+    settings.zone = ZoneName(index % m_zones.balancers);
     settings.agent_port = kAgentPort;
     settings.search_bytes_per_second = search_bytes_per_second;
     balancer.router = std::make_unique<FlowRouter>(
@@ -150,7 +166,7 @@
     const std::uint32_t ipv4 =
         0x0A020000U + static_cast<std::uint32_t>(agents.size() + 1);
     agent->address = {ipv4, kAgentPort};
-    agent->zone = agents.size() % 2 == 0 ? "a" : "b";
+    agent->zone = ZoneName(agents.size() % m_zones.agents);
     agent->entry.id = "i-" + std::to_string(agents.size());
     agent->entry.service = "counter";
     agent->entry.zone = agent->zone;
@@ -259,6 +275,10 @@
     }
   }
 
+  static std::string ZoneName(std::size_t index) {
+    return {static_cast<char>('a' + index)};
+  }
+
   static FlowTuple Tuple(std::uint32_t caller, SocketAddress route = kRoute) {
     return {{0x64400000U + caller, 40000}, route};
   }
@@ -361,8 +381,14 @@
   const Agent* delayed = nullptr;
   /// Number of callers' packets that balancers sent to agents.
   std::size_t delivered = 0;
+  /// Number of other messages between processes, by sender and by receiver.
+  std::map<SocketAddress, std::size_t> control_sent;
+  std::map<SocketAddress, std::size_t> control_received;
   /// Search limit for balancers that are started after it is set.
   std::uint64_t search_bytes_per_second = 1'000'000;
+  /// Called with each report that an agent sends, if set.
+  std::function<void(const SocketAddress& from, const AgentStatus& status)>
+      on_status;
   /// Returns whether a datagram between two processes is lost; null if none is.
   std::function<bool(const SocketAddress& from, const SocketAddress& to)>
       is_lost;
@@ -394,6 +420,7 @@
   std::vector<Datagram> m_datagrams_in_flight;
   std::vector<std::pair<Agent*, FlowPacket>> m_from_upstreams;
   std::vector<std::pair<Agent*, FlowPacket>> m_delayed_packets;
+  Zones m_zones;
   std::uint64_t m_incarnations = 0;
   std::uint64_t m_revision = 0;
   std::uint64_t m_steps = 0;
--- a/tests/libflow/nodemessagecodectest.cpp
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -29,6 +29,8 @@
         {{{0xFFFFFFFF, 0xFFFF}, {0xFFFFFFFF, 0xFFFF}}, 0xFFFFFFFF});
   }
   status.new_balancers.assign(kMaxNewBalancers, {0xFFFFFFFF, 0xFFFF});
+  status.report_interval = milliseconds(60000);
+  status.number = 0xFFFFFFFFFFFFFFFF;
   return status;
 }
 
@@ -54,6 +56,8 @@
 
 TEST_CASE("shared changes of the store are decoded unchanged") {
   SharedChanges changes;
+  changes.prefix = "servers/";
+  changes.peers.assign(kMaxSharedPeers, {0xFFFFFFFF, 0xFFFF});
   changes.sender = Incarnation{0xFFFFFFFFFFFFFFFF};
   changes.reads_store = true;
   changes.after = Revision{7};
@@ -64,6 +68,8 @@
   const auto decoded = DecodeNodeMessage(Encode(changes));
   REQUIRE(decoded);
   const auto& read = std::get<SharedChanges>(*decoded);
+  CHECK(read.prefix == changes.prefix);
+  CHECK(read.peers == changes.peers);
   CHECK(read.sender == changes.sender);
   CHECK(read.reads_store);
   CHECK(read.after == changes.after);
@@ -76,6 +82,30 @@
   }
 }
 
+TEST_CASE("a report request is decoded unchanged") {
+  const std::vector<std::uint8_t> bytes =
+      Encode(ReportRequest{"a-zone", milliseconds(100)});
+  const auto decoded = DecodeNodeMessage(bytes);
+  REQUIRE(decoded);
+  const auto& read = std::get<ReportRequest>(*decoded);
+  CHECK(read.zone == "a-zone");
+  CHECK(read.interval == milliseconds(100));
+}
+
+TEST_CASE("a status is decoded with and without a report interval") {
+  AgentStatus status;
+  status.incarnation = Incarnation{7};
+  const auto plain = DecodeNodeMessage(Encode(status));
+  REQUIRE(plain);
+  CHECK_FALSE(std::get<AgentStatus>(*plain).report_interval);
+  status.report_interval = milliseconds(0);
+  status.number = 0xFFFFFFFFFFFFFFFF;
+  const auto numbered = DecodeNodeMessage(Encode(status));
+  REQUIRE(numbered);
+  CHECK(std::get<AgentStatus>(*numbered).report_interval == milliseconds(0));
+  CHECK(std::get<AgentStatus>(*numbered).number == status.number);
+}
+
 TEST_CASE("the largest status fits into a datagram") {
   const std::vector<std::uint8_t> bytes = Encode(Status(kMaxFlowsPerStatus));
   REQUIRE(!bytes.empty());
@@ -105,7 +135,8 @@
       FlowUnknownMessage{},
       heartbeat,
       Status(2),
-      changes};
+      changes,
+      ReportRequest{"a-zone", milliseconds(100)}};
   for (int i = 0; i < 200'000; ++i) {
     std::vector<std::uint8_t> bytes =
         Encode(messages[random() % messages.size()]);
--- a/tests/libsite/changerelaytest.cpp
+++ b/tests/libsite/changerelaytest.cpp
@@ -31,13 +31,22 @@
   }
 
   void Start(std::size_t index) {
-    processes[index] = std::make_unique<Process>(m_decoder, ++m_incarnations);
+    StartAlone(index);
     for (auto& [other, process] : processes) {
       process->relay.OnIntroduced(AddressOf(index), clock.Now());
       processes[index]->relay.OnIntroduced(AddressOf(other), clock.Now());
     }
   }
 
+  /// Starts a process that no other process knows and that knows none.
+  void StartAlone(std::size_t index) {
+    processes[index] = std::make_unique<Process>(m_decoder, ++m_incarnations);
+  }
+
+  void Introduce(std::size_t index, std::size_t to) {
+    processes[to]->relay.OnIntroduced(AddressOf(index), clock.Now());
+  }
+
   void Put(const std::string& key, const std::string& value) {
     m_items[key] = {key, value, Revision{++m_revision}};
   }
@@ -69,13 +78,13 @@
 
   struct Process {
     Process(const RecordDecoder& decoder, std::uint64_t incarnation)
-        : state(decoder, [](const SiteChange&) {}),
-          relay(Incarnation{incarnation}),
+        : random(incarnation),
+          state(decoder, [](const SiteChange&) {}),
+          relay(Incarnation{incarnation}, &random),
           self{incarnation} {}
+    SeededRandom random;
     SiteState state;
-    SeededRandom random{1};
-    StoreFollower follower{"up/", &state, &random,
-                           StoreFollower::kSharingWatchWait};
+    StoreFollower follower{"up/", &state, &random};
     ChangeRelay relay;
     Incarnation self;
     std::optional<StoreFollower::Read> pending_read;
@@ -85,6 +94,8 @@
   ManualClock clock;
   std::map<std::size_t, std::unique_ptr<Process>> processes;
   std::map<std::size_t, std::size_t> reads;
+  /// Messages that each process has sent to others.
+  std::map<std::size_t, std::size_t> sent;
   /// Processes whose reads the store refuses.
   std::set<std::size_t> refused;
   /// Processes that receive no messages from other processes.
@@ -97,14 +108,12 @@
 
   void Tick(std::size_t index, Process* process) {
     const TimePoint now = clock.Now();
-    process->follower.set_passive(!process->relay.MustReadStore(now));
+    process->follower.SetPassive(!process->relay.MustReadStore(now), now);
     if (process->relay.TakeDueHeartbeat(now)) {
-      const Revision position = process->follower.position();
-      Broadcast(index, {process->self,
-                        process->follower.ReadsStore(now),
-                        position,
-                        position,
-                        {}});
+      SharedChanges heartbeat = process->follower.MakeHeartbeat(now);
+      heartbeat.sender = process->self;
+      heartbeat.peers = process->relay.NextPeerSample(now);
+      Send(index, process->relay.HeartbeatReceivers(now), heartbeat);
     }
     if (!process->pending_read) {
       const StoreFollower::Read read = process->follower.OnTick(now);
@@ -129,6 +138,9 @@
       answer.outcome = StoreAnswer::Outcome::kItems;
       answer.as_of = Revision{m_revision};
       for (const auto& [key, item] : m_items) {
+        if (!key.starts_with(process->follower.prefix())) {
+          continue;
+        }
         if (!watch || item.revision > read.after) {
           answer.items.push_back(item);
         }
@@ -139,21 +151,23 @@
       }
     }
     process->pending_read.reset();
-    const Revision before = process->follower.position();
+    const Revision before = process->follower.unchanged_since();
     process->follower.OnAnswer(read.number, answer, clock.Now());
     if (watch && !answer.items.empty() && !process->follower.passive()) {
       for (SharedChanges& changes : ChangeRelay::SplitIntoMessages(
                before, process->follower.position(), answer.items)) {
         changes.sender = process->self;
-        Broadcast(index, changes);
+        Send(index, process->relay.Peers(clock.Now()), changes);
       }
     }
   }
 
-  void Broadcast(std::size_t from, const SharedChanges& changes) {
-    for (const SocketAddress& peer :
-         processes[from]->relay.Peers(clock.Now())) {
+  void Send(std::size_t from,
+            const std::vector<SocketAddress>& receivers,
+            const SharedChanges& changes) {
+    for (const SocketAddress& peer : receivers) {
       const std::size_t to = peer.ipv4 - 1;
+      ++sent[from];
       if (to != from && processes.contains(to) &&
           !inbound_blocked.contains(to)) {
         processes[to]->relay.OnPeerMessage(AddressOf(from), changes,
@@ -186,6 +200,26 @@
   }
 }
 
+TEST_CASE(
+    "pattern: changes of other parts of the store make no process read but the "
+    "readers") {
+  Fleet fleet(20);
+  fleet.Put("up/1", "11");
+  fleet.Run(milliseconds(2000));
+  fleet.reads.clear();
+  for (std::uint32_t change = 1; change <= 50; ++change) {
+    fleet.Put("elsewhere/" + std::to_string(change), "");
+    fleet.Run(milliseconds(100));
+  }
+  CHECK(fleet.reads.size() == ChangeRelay::kReaderCount);
+  fleet.Put("up/2", "12");
+  fleet.Run(milliseconds(1000));
+  CHECK(fleet.reads.size() == ChangeRelay::kReaderCount);
+  for (std::size_t i = 0; i < 20; ++i) {
+    CHECK(fleet.HasUpstream(i, 12));
+  }
+}
+
 TEST_CASE("a process whose reads fail receives changes from other processes") {
   Fleet fleet(4);
   const std::size_t reader = *fleet.Readers(milliseconds(2000)).begin();
@@ -259,6 +293,52 @@
   CHECK(fleet.Readers(milliseconds(3000)).size() <= 2);
 }
 
+TEST_CASE(
+    "pattern: heartbeats per process do not grow with the number of "
+    "processes") {
+  constexpr std::size_t kSeconds = 10;
+  for (const std::size_t size : {30U, 300U}) {
+    Fleet fleet(size);
+    fleet.sent.clear();
+    fleet.Run(std::chrono::seconds(kSeconds));
+    std::size_t above = 0;
+    for (const auto& [index, count] : fleet.sent) {
+      above += count > 2 * ChangeRelay::kReaderCount * kSeconds ? 1 : 0;
+    }
+    // Only the readers send to all.
+    CHECK(above <= ChangeRelay::kReaderCount);
+  }
+}
+
+TEST_CASE(
+    "processes that only the first one knows learn of each other and elect two "
+    "readers") {
+  Fleet fleet(1);
+  for (std::size_t i = 1; i < 40; ++i) {
+    fleet.StartAlone(i);
+    fleet.Introduce(i, 0);
+  }
+  fleet.Run(std::chrono::seconds(5));
+  CHECK(fleet.Readers(milliseconds(2000)).size() == ChangeRelay::kReaderCount);
+  // Their successors know all others as well.
+  fleet.processes.erase(0);
+  fleet.processes.erase(1);
+  fleet.Run(std::chrono::seconds(5));
+  CHECK(fleet.Readers(milliseconds(2000)).size() == ChangeRelay::kReaderCount);
+}
+
+TEST_CASE("a message of the process itself makes it no peer of its own") {
+  SeededRandom random(1);
+  ChangeRelay relay(Incarnation{5}, &random);
+  const SocketAddress self{1, 1};
+  relay.OnIntroduced(self, TimePoint{});
+  SharedChanges own;
+  own.sender = Incarnation{5};
+  relay.OnPeerMessage(self, own, TimePoint{});
+  relay.OnIntroduced(self, TimePoint{});
+  CHECK(relay.Peers(TimePoint{}).empty());
+}
+
 TEST_CASE("changes are split into messages without gaps between them") {
   std::vector<StoreItem> items;
   for (std::uint64_t i = 1; i <= 20; ++i) {
