Do not count resets on closed flows as failures of the upstream

Cause: a request on a flow that the upstream has closed was counted as running, and the reset that answers it as a failure; three in a row made the agent refuse all but single probes to a healthy upstream. Change: data on a closing flow begins no request. The new test fails without it (the eleventh flow was refused).

--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -201,7 +201,10 @@
     }
     return;
   }
-  const bool begins = !flow->running && IsAfter(end, flow->data_sequence);
+  // The upstream answers data on a closed flow with a reset, which says nothing
+  // about its health.
+  const bool begins = flow->state != State::kClosing && !flow->running &&
+                      IsAfter(end, flow->data_sequence);
   if (begins && flow->state == State::kOpen &&
       m_pending_requests.MustWait(m_running) &&
       m_pending_requests.CanMeetDeadline(flow->flow_class)) {
--- a/tests/libflow/placementtest.cpp
+++ b/tests/libflow/placementtest.cpp
@@ -98,6 +98,32 @@
   }
 }
 
+TEST_CASE("a reset that answers a request on a closed flow is no failure") {
+  // An upstream that closes each flow after its answer, as one does that is
+  // about to leave. Callers send their next request before they see the FIN.
+  FlowSite site(1, 1);
+  FlowSite::Agent& agent = *site.agents[0];
+  agent.upstream->resets_unknown = true;
+  for (std::uint32_t caller = 1; caller <= 10; ++caller) {
+    const FlowTuple tuple = FlowSite::Tuple(caller);
+    site.Open(0, tuple);
+    site.Run(milliseconds(100));
+    REQUIRE(site.AnswersTo(tuple) == 1);
+    agent.upstream->flows.erase(tuple);
+    FlowPacket fin;
+    fin.source = tuple.route;
+    fin.destination = tuple.caller;
+    fin.fin = true;
+    std::vector<std::uint8_t> bytes = PlainCodec::Encode(fin);
+    agent.tracker->OnUpstreamPacket(bytes, site.clock.Now());
+    site.SendRequest(0, tuple, 2);
+  }
+  CHECK(site.Decisions("upstream_failing requests_reset") == 0);
+  site.Open(0, FlowSite::Tuple(100));
+  site.Run(milliseconds(100));
+  CHECK(site.AnswersTo(FlowSite::Tuple(100)) == 1);
+}
+
 TEST_CASE("packets that arrive before the first view are not lost") {
   FlowSite site(1, 2);
   site.StartBalancer(0);
