Keep long flows in large zones, search in two stages, report less across zones

A search sent a packet to all 109 agents at once.

Agents of other zones report every 500 ms while no packets go there; the quorum of the failure detector counts them apart. A search among 40 agents or more queries the own zone first, the others after 30 ms or as soon as all have answered.

--- a/src/libflow/agentfailuredetector.cpp
+++ b/src/libflow/agentfailuredetector.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// Of the agents that report every 500 ms, two thirds report within
+/// kSilenceTimeout; half of these have to.
+constexpr std::size_t kRemoteQuorumDivisor = 3;
+
 /// Whether reports of the agent are due: it has reported before, and reports
 /// are wanted.
 bool IsExpected(const AgentPeer& agent) {
@@ -28,13 +32,26 @@
   m_last_tick = now;
   std::size_t expected = 0;
   std::size_t fresh = 0;
+  std::size_t remote = 0;
+  std::size_t fresh_remote = 0;
   for (const auto& [address, agent] : agents.all()) {
-    if (IsExpected(*agent)) {
+    if (!IsExpected(*agent)) {
+      continue;
+    }
+    const Duration age = TimeSinceReport(*agent, now);
+    if (agent->wanted_interval() > kReportInterval) {
+      ++remote;
+      fresh_remote += age < kSilenceTimeout ? 1 : 0;
+    } else {
       ++expected;
-      fresh += TimeSinceReport(*agent, now) < SilenceTimeoutFor(*agent) ? 1 : 0;
+      fresh += age < SilenceTimeoutFor(*agent) ? 1 : 0;
     }
   }
-  m_quorum = fresh > 0 && 2 * fresh >= expected;
+  // The infrequent reports show that this process is not cut off if all agents
+  // that report frequently are lost together.
+  m_quorum =
+      (fresh > 0 && 2 * fresh >= expected) ||
+      (fresh_remote > 0 && kRemoteQuorumDivisor * fresh_remote >= remote);
   std::vector<AgentPeerPtr> silenced;
   if (!IsReliable(now)) {
     return silenced;
@@ -55,7 +72,9 @@
 
 std::chrono::milliseconds AgentFailureDetector::SilenceTimeoutFor(
     const AgentPeer& agent) {
-  return agent.IsReporting() ? kSilenceTimeout : kRequestTimeout;
+  return agent.IsReporting()
+             ? agent.wanted_interval() * kMissedReports + kDelayAllowance
+             : kRequestTimeout;
 }
 
 bool AgentFailureDetector::IsReliable(TimePoint now) const {
--- a/src/libflow/agentfailuredetector.h
+++ b/src/libflow/agentfailuredetector.h
@@ -15,10 +15,14 @@
 /// likely at fault itself and must not act on the silence of others.
 class AgentFailureDetector {
  public:
-  /// An agent without a report for this long is silent: the time of three
-  /// reports, one every kReportInterval, and 50 ms for delays under load.
+  /// An agent that reports every kReportInterval is silent after this long
+  /// without a report.
   static constexpr std::chrono::milliseconds kSilenceTimeout{350};
   static constexpr std::chrono::milliseconds kReportInterval{100};
+  /// Number of reports that may be missing before an agent counts as silent,
+  /// and the additional time for delays under load.
+  static constexpr int kMissedReports = 3;
+  static constexpr std::chrono::milliseconds kDelayAllowance{50};
   /// A longer gap between two ticks, which are due every 50 ms, means that this
   /// process was paused.
   static constexpr std::chrono::milliseconds kPauseThreshold{200};
--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "libflow/agentfailuredetector.h"
 #include "libsite/siteview.h"
 
 namespace fireflytrestle {
@@ -61,8 +62,8 @@
 
 void AgentPeer::OnStatus(const AgentStatus& status, TimePoint now) {
   m_last_report = now;
-  m_reports_continue =
-      !status.report_interval || *status.report_interval > milliseconds(0);
+  m_promised_interval =
+      status.report_interval.value_or(AgentFailureDetector::kReportInterval);
   if (status.incarnation != m_incarnation) {
     m_previous_incarnation = m_incarnation;
     m_incarnation = status.incarnation;
@@ -80,26 +81,27 @@
   }
 }
 
-void AgentPeer::RequestReports(TimePoint now) {
-  if (!m_reports_wanted) {
-    m_reports_wanted = true;
+void AgentPeer::RequestReports(milliseconds interval, TimePoint now) {
+  if (interval != m_wanted_interval) {
+    m_wanted_interval = interval;
     m_reports_wanted_since = now;
   }
 }
 
 void AgentPeer::CancelReports() {
-  m_reports_wanted = false;
+  m_wanted_interval = milliseconds(0);
   m_silent = false;
 }
 
 void AgentPeer::OnForwarded(TimePoint now) {
   m_last_forwarded = now;
-  RequestReports(now);
+  RequestReports(AgentFailureDetector::kReportInterval, now);
 }
 
 bool AgentPeer::IsReporting() const {
-  return m_reports_wanted && m_reports_continue && !m_silent && m_last_report &&
-         *m_last_report >= m_reports_wanted_since;
+  return reports_wanted() && m_promised_interval.count() > 0 &&
+         m_promised_interval <= m_wanted_interval && !m_silent &&
+         m_last_report && *m_last_report >= m_reports_wanted_since;
 }
 
 bool AgentPeer::IsInUse(TimePoint now) const {
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -33,15 +33,20 @@
   void OnStatus(const AgentStatus& status, TimePoint now);
   /// Requests regular reports from the agent, or cancels the request. Whether
   /// an agent is silent is known only while reports are wanted.
-  void RequestReports(TimePoint now);
+  void RequestReports(std::chrono::milliseconds interval, TimePoint now);
   void CancelReports();
-  bool reports_wanted() const { return m_reports_wanted; }
+  bool reports_wanted() const { return m_wanted_interval.count() > 0; }
+  /// Requested interval of reports; 0 for none.
+  std::chrono::milliseconds wanted_interval() const {
+    return m_wanted_interval;
+  }
   /// When the present request began.
   TimePoint reports_wanted_since() const { return m_reports_wanted_since; }
-  /// Whether the agent has answered the present request and is not silent.
+  /// Whether the agent reports as often as requested and is not silent.
   bool IsReporting() const;
 
-  /// Records that a packet was forwarded to the agent, and requests reports.
+  /// Records that a packet was forwarded to the agent, and requests frequent
+  /// reports.
   void OnForwarded(TimePoint now);
   /// Whether packets were forwarded to the agent recently, so that its loss has
   /// to be detected.
@@ -116,14 +121,14 @@
   TimePoint m_cold_until{};
   std::uint32_t m_cold_rate_milli = 0;
 
-  bool m_reports_wanted = false;
+  std::chrono::milliseconds m_wanted_interval{0};
   TimePoint m_reports_wanted_since{};
   TimePoint m_last_forwarded{};
 
   // From the agent's reports and answers.
   std::optional<TimePoint> m_last_report;
-  /// The last report announced that further ones follow.
-  bool m_reports_continue = false;
+  /// Interval of reports according to the last one; 0 if none follow.
+  std::chrono::milliseconds m_promised_interval{0};
   Incarnation m_incarnation{};
   Incarnation m_previous_incarnation{};
   /// Number of the last report; 0 if the agent does not number them.
--- a/src/libflow/agentselector.h
+++ b/src/libflow/agentselector.h
@@ -19,7 +19,8 @@
 /// Returns the agent for a new flow: the least loaded preferred agent that is
 /// not in \p tried, else the least loaded other candidate that is not in
 /// \p tried, else null. Agents outside \p own_zone count as slightly more
-/// loaded. The flow's hash decides between equally loaded agents.
+/// loaded, for long-lived flows from a zone with many agents as considerably
+/// more. The flow's hash decides between equally loaded agents.
 AgentPeerPtr SelectAgent(const std::vector<AgentPeerPtr>& agents,
                          const FlowTuple& tuple,
                          bool long_lived,
--- a/src/libflow/agentsubscriptions.cpp
+++ b/src/libflow/agentsubscriptions.cpp
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 #include <tuple>
-#include <unordered_set>
+
+#include "libflow/agentfailuredetector.h"
 
 namespace fireflytrestle {
 
 namespace {
 
+using std::chrono::milliseconds;
+
 /// Limit on the size of a subset that contains agents which do not report and
 /// therefore do not count.
 constexpr std::size_t kMaxSubsetSize =
@@ -32,25 +35,43 @@
 void AgentSubscriptions::Update(const AgentTable& agents, TimePoint now) {
   m_next_update = now + kUpdateInterval;
   m_by_service.clear();
-  std::unordered_set<const AgentPeer*> selected;
+  std::unordered_map<const AgentPeer*, milliseconds> selected;
   for (const auto& [service, members] : agents.by_service()) {
     std::vector<AgentPeerPtr> subset = Select(members);
+    const milliseconds remote = RemoteInterval(subset);
     for (const AgentPeerPtr& agent : subset) {
-      selected.insert(agent.get());
+      selected[agent.get()] = agent->zone() == m_zone
+                                  ? AgentFailureDetector::kReportInterval
+                                  : remote;
     }
     m_by_service.emplace(service, std::move(subset));
   }
   for (const auto& [address, agent] : agents.all()) {
-    if (selected.contains(agent.get()) || agent->IsInUse(now)) {
-      agent->RequestReports(now);
+    const auto position = selected.find(agent.get());
+    if (agent->IsInUse(now)) {
+      agent->RequestReports(AgentFailureDetector::kReportInterval, now);
+    } else if (position != selected.end()) {
+      agent->RequestReports(position->second, now);
     } else {
       agent->CancelReports();
     }
   }
 }
 
+milliseconds AgentSubscriptions::RemoteInterval(
+    const std::vector<AgentPeerPtr>& subset) const {
+  const auto own_zone =
+      std::count_if(subset.begin(), subset.end(), [&](const auto& agent) {
+        return agent->zone() == m_zone && agent->IsCandidate() &&
+               !agent->silent();
+      });
+  return static_cast<std::size_t>(own_zone) >= kMinOwnZoneAgents
+             ? kRemoteReportInterval
+             : AgentFailureDetector::kReportInterval;
+}
+
 std::vector<AgentPeerPtr> AgentSubscriptions::Select(
-    const std::vector<AgentPeerPtr>& agents) {
+    const std::vector<AgentPeerPtr>& agents) const {
   using Rank = std::tuple<bool, bool, std::uint64_t>;
   std::vector<std::pair<Rank, AgentPeerPtr>> ranked;
   ranked.reserve(agents.size());
--- a/src/libflow/agentsubscriptions.h
+++ b/src/libflow/agentsubscriptions.h
@@ -25,9 +25,13 @@
   /// it has room for all flows that one balancer opens between two reports.
   static constexpr std::size_t kAgentsPerService = 20;
   /// Number of these that are selected from the balancer's own zone first. The
-  /// others keep the balancer working, with reports from half of the subset, if
+  /// others keep the balancer working if
   /// it loses all agents of its zone.
-  static constexpr std::size_t kOwnZoneAgents = 10;
+  static constexpr std::size_t kOwnZoneAgents = 8;
+  /// If the subset has at least this many agents of the own zone, agents of
+  /// other zones get few flows and report at kRemoteReportInterval only.
+  static constexpr std::size_t kMinOwnZoneAgents = 4;
+  static constexpr std::chrono::milliseconds kRemoteReportInterval{500};
   static constexpr std::chrono::milliseconds kUpdateInterval{1000};
 
   /// \p seed differs between balancers, so that they select different subsets.
@@ -45,7 +49,11 @@
   const std::vector<AgentPeerPtr>& ForService(const std::string& service) const;
 
  private:
-  std::vector<AgentPeerPtr> Select(const std::vector<AgentPeerPtr>& agents);
+  std::vector<AgentPeerPtr> Select(
+      const std::vector<AgentPeerPtr>& agents) const;
+  /// Returns the interval of reports from agents of other zones in \p subset.
+  std::chrono::milliseconds RemoteInterval(
+      const std::vector<AgentPeerPtr>& subset) const;
 
   std::uint64_t m_seed;
   std::string m_zone;
--- a/src/libflow/balancertable.cpp
+++ b/src/libflow/balancertable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "libflow/agentfailuredetector.h"
 #include "libflow/nodemessagecodec.h"
 
 namespace fireflytrestle {
@@ -74,8 +75,30 @@
   return balancer == nullptr ? std::nullopt : balancer->report_interval;
 }
 
-bool BalancerTable::IsReportDue(const SocketAddress& address,
-                                TimePoint now) const {
+bool BalancerTable::TakeDueReport(const SocketAddress& address, TimePoint now) {
+  if (!WantsReports(address, now)) {
+    return false;
+  }
+  const auto position = m_balancers.find(address);
+  if (position == m_balancers.end()) {
+    return true;
+  }
+  Balancer& balancer = position->second;
+  const milliseconds interval =
+      balancer.report_interval.value_or(milliseconds(0));
+  // Reports are sent at a fixed rate; a longer interval skips some of them.
+  if (interval > AgentFailureDetector::kReportInterval) {
+    if (now < balancer.next_report) {
+      return false;
+    }
+    balancer.next_report =
+        now + interval - AgentFailureDetector::kReportInterval / 2;
+  }
+  return true;
+}
+
+bool BalancerTable::WantsReports(const SocketAddress& address,
+                                 TimePoint now) const {
   const Balancer* balancer = Find(address);
   return balancer == nullptr ||
          (balancer->report_interval != milliseconds(0) &&
--- a/src/libflow/balancertable.h
+++ b/src/libflow/balancertable.h
@@ -36,7 +36,11 @@
       const SocketAddress& address) const;
 
   /// Whether the balancer gets regular reports.
-  bool IsReportDue(const SocketAddress& address, TimePoint now) const;
+  bool WantsReports(const SocketAddress& address, TimePoint now) const;
+
+  /// Returns whether a regular report to the balancer is due, and schedules the
+  /// next one if it is.
+  bool TakeDueReport(const SocketAddress& address, TimePoint now);
 
   /// Whether \p address may get packets of a flow whose last packet \p sender
   /// forwarded: both are in the same zone, or one of the zones is unknown.
@@ -66,6 +70,7 @@
     /// When the present incarnation was first seen.
     TimePoint first_seen;
     TimePoint last_heartbeat;
+    TimePoint next_report{};
   };
 
   const Balancer* Find(const SocketAddress& address) const;
--- a/src/libflow/flowownertable.h
+++ b/src/libflow/flowownertable.h
@@ -37,6 +37,10 @@
   std::uint8_t placements = 0;
   AgentPeerPtr owner;
   std::vector<AgentPeerPtr> pending_agents;
+  /// Agents that a search queries if no agent of the first stage holds the
+  /// flow, and the packet that they get.
+  std::vector<AgentPeerPtr> unqueried_agents;
+  std::vector<std::uint8_t> search_packet;
   /// Agents that returned the SYN.
   std::vector<AgentPeerPtr> refused_by;
   TimePoint placed{};
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -23,8 +23,13 @@
 /// agent does not answer: callers repeat a SYN after 200 ms, an answer takes
 /// under 20 ms.
 constexpr milliseconds kSynAnswerTimeout{120};
-/// Agents answer a query within milliseconds. One that has not answered after
-/// this time may have been lost.
+/// The second stage of a search begins after this time if the first one has not
+/// ended: an agent answers a query within milliseconds.
+constexpr milliseconds kFirstStageTimeout{30};
+/// A search among fewer agents, or with fewer in the own zone, has one stage.
+constexpr std::ptrdiff_t kMinStagedAgents = 40;
+constexpr std::ptrdiff_t kMinFirstStageAgents = 4;
+/// An agent that has not answered a query after this time may have been lost.
 constexpr milliseconds kQueryTimeout{100};
 /// Agents answer the first heartbeat at once; those that have not done so
 /// within this time are assumed to be down.
@@ -231,8 +236,10 @@
     }
   }
   if (entry->state == State::kSearching) {
-    if (!TryEndSearch(tuple, *entry, now)) {
-      QueryPendingAgents(tuple, *entry, datagram, now);
+    if (!TryEndSearch(tuple, entry, now)) {
+      if (QueryRemainingAgents(tuple, entry, now)) {
+        QueryPendingAgents(tuple, *entry, datagram, now);
+      }
     }
     return;
   }
@@ -269,18 +276,75 @@
     entry->pending_agents.insert(entry->pending_agents.end(), agents.begin(),
                                  agents.end());
   }
+  auto& pending = entry->pending_agents;
+  const auto other_zones = std::stable_partition(
+      pending.begin(), pending.end(), [&](const AgentPeerPtr& agent) {
+        return agent->zone() == m_settings.zone;
+      });
+  if (pending.end() - pending.begin() >= kMinStagedAgents &&
+      other_zones - pending.begin() >= kMinFirstStageAgents &&
+      other_zones != pending.end()) {
+    entry->unqueried_agents.assign(other_zones, pending.end());
+    pending.erase(other_zones, pending.end());
+    entry->search_packet.assign(datagram.begin(), datagram.end());
+    m_first_stage_searches.push_back(tuple);
+  }
   Report(Kind::kSearched, tuple, nullptr, "owner_unknown", now);
   if (QueryPendingAgents(tuple, *entry, datagram, now)) {
     return;
   }
-  // The bandwidth limit allows no search. Of the flows that are reset here,
-  // only one that opened a moment ago may have an owner; all others have none.
-  if (m_loss_detector.AreAllFlowsLost(now) && !packet.reset) {
-    Reset(tuple, packet.acknowledgment, "all_flows_lost", nullptr, now);
+  if (packet.reset) {
+    m_flows.Erase(tuple);
+  } else {
+    AbandonSearch(tuple, packet.acknowledgment, now);
+  }
+}
+
+bool FlowRouter::QueryRemainingAgents(const FlowTuple& tuple,
+                                      FlowEntry* entry,
+                                      TimePoint now) {
+  if (entry->unqueried_agents.empty()) {
+    return true;
+  }
+  FlowEntry stage = *entry;
+  stage.pending_agents = std::exchange(entry->unqueried_agents, {});
+  entry->pending_agents.insert(entry->pending_agents.end(),
+                               stage.pending_agents.begin(),
+                               stage.pending_agents.end());
+  const auto packet = std::exchange(entry->search_packet, {});
+  if (QueryPendingAgents(tuple, stage, packet, now)) {
+    return true;
+  }
+  AbandonSearch(tuple, entry->acknowledgment, now);
+  return false;
+}
+
+void FlowRouter::AbandonSearch(const FlowTuple& tuple,
+                               std::uint32_t acknowledgment,
+                               TimePoint now) {
+  // Of the flows that are reset here, only one that opened a moment ago may
+  // have an owner; all others have none.
+  if (m_loss_detector.AreAllFlowsLost(now)) {
+    Reset(tuple, acknowledgment, "all_flows_lost", nullptr, now);
   }
   m_flows.Erase(tuple);
 }
 
+void FlowRouter::AdvanceSearches(TimePoint now) {
+  std::erase_if(m_first_stage_searches, [&](const FlowTuple& tuple) {
+    FlowEntry* entry = m_flows.Find(tuple);
+    if (entry == nullptr || entry->state != State::kSearching ||
+        entry->unqueried_agents.empty()) {
+      return true;
+    }
+    if (now - entry->placed < kFirstStageTimeout) {
+      return false;
+    }
+    QueryRemainingAgents(tuple, entry, now);
+    return true;
+  });
+}
+
 bool FlowRouter::QueryPendingAgents(const FlowTuple& tuple,
                                     const FlowEntry& entry,
                                     std::span<const std::uint8_t> datagram,
@@ -318,17 +382,20 @@
 }
 
 bool FlowRouter::TryEndSearch(const FlowTuple& tuple,
-                              const FlowEntry& entry,
+                              FlowEntry* entry,
                               TimePoint now) {
   const bool trusted = m_failure_detector.IsReliable(now);
+  const std::vector<AgentPeerPtr>& pending = entry->pending_agents;
   const auto is_lost = [&](const AgentPeerPtr& agent) {
     return agent->IsGone() || (trusted && agent->silent());
   };
-  const bool all_answered =
-      std::all_of(entry.pending_agents.begin(), entry.pending_agents.end(),
-                  [&](const AgentPeerPtr& agent) {
-                    return is_lost(agent) || !agent->last_report();
-                  });
+  const bool all_answered = std::all_of(
+      pending.begin(), pending.end(), [&](const AgentPeerPtr& agent) {
+        return is_lost(agent) || !agent->last_report();
+      });
+  if (all_answered && !entry->unqueried_agents.empty()) {
+    return !QueryRemainingAgents(tuple, entry, now);
+  }
   if (all_answered) {
     m_loss_detector.OnOrphanedFlow(tuple);
   }
@@ -336,16 +403,14 @@
   // not report is assumed to have lost its flows, too.
   const bool all_lost =
       (all_answered && m_loss_detector.AreAllFlowsLost(now)) ||
-      std::all_of(entry.pending_agents.begin(), entry.pending_agents.end(),
-                  is_lost);
+      std::all_of(pending.begin(), pending.end(), is_lost);
   // A non-idempotent request may still run at a silent agent's upstream; a
   // reset would not help its caller.
-  if (!all_lost ||
-      (!entry.pending_agents.empty() && !entry.flow_class.idempotent)) {
+  if (!all_lost || (!pending.empty() && !entry->flow_class.idempotent)) {
     return false;
   }
   if (m_loss_detector.AreAllUpstreamsKnown(now)) {
-    Reset(tuple, entry.acknowledgment, "no_owner", nullptr, now);
+    Reset(tuple, entry->acknowledgment, "no_owner", nullptr, now);
   } else {
     Report(Kind::kDropped, tuple, nullptr, "no_owner_known", now);
   }
@@ -443,7 +508,7 @@
   Report(Kind::kUnknownThere, tuple, agent.get(), "", now);
   if (entry->state == State::kSearching) {
     if (Remove(&entry->pending_agents, agent)) {
-      TryEndSearch(tuple, *entry, now);
+      TryEndSearch(tuple, entry, now);
     }
     return;
   }
@@ -499,6 +564,8 @@
     entry->state = State::kOpen;
     entry->owner = agent;
     entry->pending_agents.clear();
+    entry->unqueried_agents.clear();
+    entry->search_packet.clear();
   }
   ProcessPendingPackets(now);
 }
@@ -529,6 +596,7 @@
     Report(Kind::kPeerSilent, {}, agent.get(), "no_report", now);
     OnAgentSilent(agent, now);
   }
+  AdvanceSearches(now);
   m_subscriptions.OnTick(m_agents, now);
   m_heartbeats.OnTick(m_agents, now);
   if (now >= m_next_sweep) {
@@ -557,7 +625,7 @@
     m_flows.Erase(tuple);
   }
   for (const FlowTuple& tuple : searched) {
-    TryEndSearch(tuple, *m_flows.Find(tuple), now);
+    TryEndSearch(tuple, m_flows.Find(tuple), now);
   }
 }
 
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -101,8 +101,8 @@
                      FlowEntry* entry,
                      const char* reason,
                      TimePoint now);
-  /// Handles a packet of an unknown flow: queries all agents of the route's
-  /// services for the owner.
+  /// Handles a packet of an unknown flow: queries the agents of the route's
+  /// services for the owner, those of the own zone first, where most flows are.
   void StartSearch(const FlowPacket& packet,
                    const FlowTuple& tuple,
                    std::span<const std::uint8_t> datagram,
@@ -118,12 +118,22 @@
                           const FlowEntry& entry,
                           std::span<const std::uint8_t> datagram,
                           TimePoint now);
-  /// Ends a search that no agent is left to answer. Returns whether it ended
+  /// Begins the second stage of a search, if there is one: queries the
+  /// remaining agents. Returns false if the bandwidth limit does not allow it
   /// and the flow was removed.
-  bool TryEndSearch(const FlowTuple& tuple,
-                    const FlowEntry& entry,
-                    TimePoint now);
+  bool QueryRemainingAgents(const FlowTuple& tuple,
+                            FlowEntry* entry,
+                            TimePoint now);
+  /// Begins the second stage of the searches whose first one takes too long.
+  void AdvanceSearches(TimePoint now);
+  /// Ends a search that no agent is left to answer, or begins its second stage.
+  /// Returns whether it ended and the flow was removed.
+  bool TryEndSearch(const FlowTuple& tuple, FlowEntry* entry, TimePoint now);
   /// Forwards a packet to the agent that holds the flow or gets its SYN.
+  /// Removes a flow whose search the bandwidth limit does not allow.
+  void AbandonSearch(const FlowTuple& tuple,
+                     std::uint32_t acknowledgment,
+                     TimePoint now);
   void Deliver(const FlowEntry& entry,
                std::span<const std::uint8_t> datagram,
                TimePoint now);
@@ -170,6 +180,8 @@
   bool m_can_route = false;
   RetryBudget m_retry_budget;
   TokenBucket m_search_bytes;
+  /// Searches in their first stage.
+  std::vector<FlowTuple> m_first_stage_searches;
   TimePoint m_next_sweep;
 };
 
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -420,9 +420,9 @@
 void FlowTracker::OnReportRequest(const SocketAddress& source,
                                   const ReportRequest& request,
                                   TimePoint now) {
-  const bool was_reporting = m_balancers.IsReportDue(source, now);
+  const auto before = m_balancers.ReportInterval(source);
   m_balancers.OnReportRequest(source, request, now);
-  if (!was_reporting && m_balancers.IsReportDue(source, now)) {
+  if (before != request.interval && m_balancers.WantsReports(source, now)) {
     m_reporter.SendTo(source, MakeStatus(now), {}, m_balancers);
   }
 }
@@ -542,7 +542,7 @@
 
 void FlowTracker::SendStatus(TimePoint now) {
   m_placed_since_status = 0;
-  m_reporter.Send(MakeStatus(now), m_balancers, now);
+  m_reporter.Send(MakeStatus(now), &m_balancers, now);
 }
 
 void FlowTracker::SendAllFlows(const SocketAddress& balancer, TimePoint now) {
--- a/src/libflow/heartbeatscheduler.cpp
+++ b/src/libflow/heartbeatscheduler.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "libflow/agentfailuredetector.h"
 #include "libflow/flowlossdetector.h"
 #include "libflow/flowoutput.h"
 #include "libflow/nodemessagecodec.h"
@@ -56,13 +55,15 @@
     return std::max<Duration>(
         kIdleInterval, std::chrono::seconds(agent_count / kMaxIdlePerSecond));
   }
-  return agent.IsReporting() ? kInterval : kProbeInterval;
+  return agent.IsReporting() ? std::max(kInterval, agent.wanted_interval())
+                             : kProbeInterval;
 }
 
 void HeartbeatScheduler::OnTick(const AgentTable& agents, TimePoint now) {
   for (const auto& [address, agent] : agents.all()) {
     const Sent& sent = m_sent[address];
-    const bool request_changed = agent->reports_wanted() != sent.reports_wanted;
+    const bool request_changed =
+        agent->wanted_interval() != sent.requested_interval;
     if (request_changed ||
         now - sent.at >= IntervalFor(*agent, agents.all().size())) {
       Send(*agent, now);
@@ -98,18 +99,15 @@
 
 void HeartbeatScheduler::Send(const AgentPeer& agent, TimePoint now) {
   Sent& sent = m_sent[agent.address()];
-  const bool wanted = agent.reports_wanted();
-  if (sent.at == TimePoint{} || wanted != sent.reports_wanted ||
+  const milliseconds interval = agent.wanted_interval();
+  if (sent.at == TimePoint{} || interval != sent.requested_interval ||
       now - sent.request_at >= kRequestInterval ||
-      (wanted && !agent.IsReporting())) {
+      (agent.reports_wanted() && !agent.IsReporting())) {
     // The request comes first: the agent answers the first heartbeat with the
     // flows of the balancer's zone, which it knows from the request.
-    m_output->SendToNode(
-        agent.address(),
-        ReportRequest{m_zone, wanted ? AgentFailureDetector::kReportInterval
-                                     : milliseconds(0)});
+    m_output->SendToNode(agent.address(), ReportRequest{m_zone, interval});
     sent.request_at = now;
-    sent.reports_wanted = wanted;
+    sent.requested_interval = interval;
   }
   sent.at = now;
   sent.heartbeat = agent.MakeHeartbeat(m_self, Introduced(), now);
--- a/src/libflow/heartbeatscheduler.h
+++ b/src/libflow/heartbeatscheduler.h
@@ -52,7 +52,7 @@
   struct Sent {
     TimePoint at{};
     TimePoint request_at{};
-    bool reports_wanted = false;
+    std::chrono::milliseconds requested_interval{0};
     BalancerHeartbeat heartbeat;
   };
 
--- a/src/libflow/statusreporter.cpp
+++ b/src/libflow/statusreporter.cpp
@@ -32,13 +32,13 @@
   return IsDue(now);
 }
 
-void StatusReporter::Send(AgentStatus status,
-                          const BalancerTable& balancers,
+void StatusReporter::Send(const AgentStatus& status,
+                          BalancerTable* balancers,
                           TimePoint now) {
   m_last = now;
   m_next = now + AgentFailureDetector::kReportInterval;
   const std::vector<OpenedFlow> opened = std::exchange(m_opened, {});
-  std::vector<SocketAddress> receivers = balancers.Addresses();
+  std::vector<SocketAddress> receivers = balancers->Addresses();
   if (receivers.empty()) {
     receivers = m_seeds;
   }
@@ -46,12 +46,12 @@
   for (const SocketAddress& balancer : receivers) {
     flows.clear();
     for (const OpenedFlow& each : opened) {
-      if (balancers.CanReceiveFlowsOf(balancer, each.balancer)) {
+      if (balancers->CanReceiveFlowsOf(balancer, each.balancer)) {
         flows.push_back(each.flow);
       }
     }
-    if (!flows.empty() || balancers.IsReportDue(balancer, now)) {
-      SendTo(balancer, status, flows, balancers);
+    if (balancers->TakeDueReport(balancer, now) || !flows.empty()) {
+      SendTo(balancer, status, flows, *balancers);
     }
   }
 }
--- a/src/libflow/statusreporter.h
+++ b/src/libflow/statusreporter.h
@@ -34,7 +34,7 @@
   bool Expedite(TimePoint now);
 
   /// Sends the reports. \p status has no flows.
-  void Send(AgentStatus status, const BalancerTable& balancers, TimePoint now);
+  void Send(const AgentStatus& status, BalancerTable* balancers, TimePoint now);
 
   /// Sends a report with \p flows to one balancer at once.
   void SendTo(const SocketAddress& balancer,
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -47,8 +47,8 @@
       std::vector<std::uint8_t> bytes(2000);
       bytes.resize(EncodeNodeMessage(message, bytes));
       if (const auto* status = std::get_if<AgentStatus>(&message);
-          status != nullptr && m_site->on_status) {
-        m_site->on_status(m_self, *status);
+          status != nullptr && m_site->on_report) {
+        m_site->on_report(m_self, node, *status);
       }
       const bool is_packet = std::holds_alternative<DeliverMessage>(message);
       m_site->delivered += is_packet ? 1 : 0;
@@ -387,8 +387,10 @@
   /// Search limit for balancers that are started after it is set.
   std::uint64_t search_bytes_per_second = 1'000'000;
   /// Called with each report that an agent sends, if set.
-  std::function<void(const SocketAddress& from, const AgentStatus& status)>
-      on_status;
+  std::function<void(const SocketAddress& from,
+                     const SocketAddress& to,
+                     const AgentStatus& status)>
+      on_report;
   /// Returns whether a datagram between two processes is lost; null if none is.
   std::function<bool(const SocketAddress& from, const SocketAddress& to)>
       is_lost;
--- a/tests/libflow/reportsubsettest.cpp
+++ b/tests/libflow/reportsubsettest.cpp
@@ -83,6 +83,53 @@
   }
 }
 
+TEST_CASE("agents of other zones report less often unless they are in use") {
+  FlowSite site(6, 120, 3, kThreeZones);
+  const FlowSite::Balancer& balancer = *site.balancers[0];
+  const AgentTable& table = balancer.router->agents();
+  std::map<SocketAddress, std::size_t> reports;
+  site.on_report = [&](const SocketAddress& from, const SocketAddress& to,
+                       const AgentStatus& /*status*/) {
+    reports[from] += to == balancer.address ? 1 : 0;
+  };
+  site.Run(seconds(2));
+  for (const auto& [address, agent] : table.all()) {
+    const bool own_zone = agent->zone() == "a";
+    if (agent->reports_wanted()) {
+      CHECK(agent->IsReporting());
+      CHECK(reports[address] >= (own_zone ? 18 : 3));
+      CHECK(reports[address] <= (own_zone ? 21 : 5));
+    } else {
+      CHECK(reports[address] == 0);
+    }
+  }
+  SUBCASE("one that gets packets reports often") {
+    const auto remote = std::find_if(
+        table.all().begin(), table.all().end(), [](const auto& item) {
+          return item.second->reports_wanted() && item.second->zone() != "a";
+        });
+    const SocketAddress address = remote->first;
+    remote->second->OnForwarded(site.clock.Now());
+    site.Run(milliseconds(100));
+    reports.clear();
+    site.Run(seconds(2));
+    CHECK(reports[address] >= 18);
+  }
+}
+
+TEST_CASE("a balancer that is cut off trusts no infrequent reports") {
+  FlowSite site(6, 120, 3, kThreeZones);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(300));
+  site.is_lost = [&](const SocketAddress&, const SocketAddress& to) {
+    return to == site.balancers[0]->address;
+  };
+  site.Run(seconds(3));
+  CHECK_FALSE(site.balancers[0]->router->IsServing());
+  CHECK(site.resets.empty());
+}
+
 TEST_CASE("every agent of a small service reports to every balancer") {
   FlowSite site(3, 11);
   for (std::size_t i = 0; i < site.balancers.size(); ++i) {
@@ -209,7 +256,8 @@
   for (std::size_t i = 0; i < site.balancers.size(); ++i) {
     site.StartBalancer(i);
   }
-  site.on_status = [&](const SocketAddress& from, const AgentStatus& status) {
+  site.on_report = [&](const SocketAddress& from, const SocketAddress& /*to*/,
+                       const AgentStatus& status) {
     if (from == site.agents[0]->address) {
       announced.insert(status.new_balancers.begin(),
                        status.new_balancers.end());
@@ -250,6 +298,74 @@
   CHECK(site.resets.empty());
 }
 
+TEST_CASE("pattern: long-lived flows of a large zone stay in it") {
+  FlowSite site(6, 90, 3, kThreeZones);
+  constexpr std::uint32_t kFlows = 240;
+  std::size_t own_zone = 0;
+  for (std::uint32_t caller = 0; caller < kFlows; ++caller) {
+    site.Open(caller % 6, FlowSite::Tuple(caller));
+    site.Run(milliseconds(10));
+    own_zone += site.OwnerOf(FlowSite::Tuple(caller))->zone ==
+                        FlowSite::ZoneName(caller % 3)
+                    ? 1
+                    : 0;
+  }
+  CHECK(own_zone >= kFlows * 9 / 10);
+}
+
+TEST_CASE("pattern: a zone with all callers also uses the other zones") {
+  // Two balancers of one zone place all flows; the even share of the upstreams
+  // that they select from, up to 40, is at least 6 flows.
+  FlowSite site(6, 90, 3, kThreeZones);
+  std::map<const FlowSite::Agent*, std::size_t> flows;
+  for (std::uint32_t caller = 0; caller < 240; ++caller) {
+    site.Open(caller % 2 * 3, FlowSite::Tuple(caller));
+    site.Run(milliseconds(10));
+    ++flows[site.OwnerOf(FlowSite::Tuple(caller))];
+  }
+  std::size_t other_zones = 0;
+  std::size_t most = 0;
+  for (const auto& [agent, count] : flows) {
+    other_zones += agent->zone == "a" ? 0 : count;
+    most = std::max(most, count);
+  }
+  CHECK(other_zones >= 60);
+  CHECK(most <= 12);
+}
+
+TEST_CASE("a search queries the agents of the own zone first") {
+  FlowSite site(2, 60, 3, {2, 3});
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.SendSyn(0, tuple);
+  const bool in_zone = site.OwnerOf(tuple) == nullptr;
+  REQUIRE(in_zone);
+  // Balancer 1 is in another zone than the one that placed the flow.
+  site.delivered = 0;
+  SUBCASE("an agent of another zone holds the flow") {
+    site.SendRequest(1, tuple);
+    CHECK(site.delivered == 60);
+  }
+  SUBCASE("an agent of the own zone holds the flow") {
+    site.StartBalancer(0);
+    site.Publish();
+    site.Run(milliseconds(200));
+    site.delivered = 0;
+    site.SendRequest(0, tuple);
+    CHECK(site.delivered == 20);
+  }
+  SUBCASE("an agent of the own zone does not answer") {
+    FlowSite::Agent* lost = site.agents[1].get();
+    lost->running = false;
+    site.SendRequest(1, tuple);
+    CHECK(site.delivered == 20);
+    site.Run(milliseconds(60));
+    CHECK(site.delivered == 60);
+  }
+  site.Run(milliseconds(300));
+  CHECK(site.AnswersTo(tuple) == 1);
+  CHECK(site.resets.empty());
+}
+
 TEST_CASE("processes of the version before report requests work as before") {
   // An agent that ignores requests reports to all, with every flow.
   FlowSite site(2, 3);
