Defer searches after an outage of everything; keep flows of overtaken reports

Cause: after a loss of power of all machines, each balancer searched 109 agents for the owner of every lost flow. With the bandwidth limit used up, a flow that had just opened and moved was reset (seen in the new test).

Change: once 12 searches have begun in the first 2.5 s after the first view, and no agent reports a flow from before, further packets wait 100 ms for a report of their flow; then the flow is lost, or agents are queried. Services of fewer than 40 agents are searched as before.

Without the deferral the new test sends 2,252 packets where 730 are allowed, and resets the flow that has just opened.

--- a/src/libflow/agentsubscriptions.h
+++ b/src/libflow/agentsubscriptions.h
@@ -25,8 +25,7 @@
   /// it has room for all flows that one balancer opens between two reports.
   static constexpr std::size_t kAgentsPerService = 20;
   /// Number of these that are selected from the balancer's own zone first. The
-  /// others keep the balancer working if
-  /// it loses all agents of its zone.
+  /// others keep the balancer working if it loses all agents of its zone.
   static constexpr std::size_t kOwnZoneAgents = 8;
   /// If the subset has at least this many agents of the own zone, agents of
   /// other zones get few flows and report at kRemoteReportInterval only.
--- a/src/libflow/flowlossdetector.cpp
+++ b/src/libflow/flowlossdetector.cpp
@@ -18,6 +18,12 @@
 /// lost their flows together, provided that none of them holds an old flow. In
 /// a smaller sample, the flows of one upstream may be missing by chance.
 constexpr std::size_t kMinOrphanedFlows = 8;
+/// Number of searches that suffice to find kMinOrphanedFlows flows without an
+/// owner after an outage.
+constexpr std::size_t kMaxRecoverySearches = 12;
+/// Searches are deferred only this long after the first view, while the
+/// platform still counts the instances as disturbed by the outage.
+constexpr milliseconds kDeferPeriod{2500};
 /// Time after the first view in which an outage is assumed as the cause of lost
 /// flows; callers repeat their requests for a few seconds after one.
 constexpr milliseconds kRecoveryTime{5000};
@@ -59,6 +65,11 @@
   return 2 * reporting >= m_agents.all().size();
 }
 
+bool FlowLossDetector::ShouldDeferSearches(TimePoint now) const {
+  return now - m_first_view < kDeferPeriod &&
+         m_searches >= kMaxRecoverySearches && IsRecovering(now);
+}
+
 bool FlowLossDetector::AreMostUpstreamsCold(TimePoint now) const {
   std::size_t cold = 0;
   for (const auto& [address, agent] : m_agents.all()) {
--- a/src/libflow/flowlossdetector.h
+++ b/src/libflow/flowlossdetector.h
@@ -45,6 +45,12 @@
   /// those whose agents have not reported since.
   bool AreAllFlowsLost(TimePoint now) const;
 
+  /// Whether a flow without a known owner is most likely one of many that an
+  /// outage ended. A search for each of them would use up the links.
+  bool ShouldDeferSearches(TimePoint now) const;
+  /// Counts a search that queries agents.
+  void OnSearch() { ++m_searches; }
+
  private:
   /// Whether this process started recently, at least half of the agents report,
   /// and none of them holds a flow from before the start. The outage that ended
@@ -58,6 +64,7 @@
   TimePoint m_view_confirmed{};
   /// Flows without an owner, up to the number that AreAllFlowsLost() needs.
   std::unordered_set<FlowTuple, FlowTupleHash> m_orphaned_flows;
+  std::size_t m_searches = 0;
 };
 
 }  // namespace fireflytrestle
--- a/src/libflow/flowownertable.h
+++ b/src/libflow/flowownertable.h
@@ -37,9 +37,12 @@
   std::uint8_t placements = 0;
   AgentPeerPtr owner;
   std::vector<AgentPeerPtr> pending_agents;
+  /// The search waits for reports of the flow instead of querying agents.
+  bool is_deferred = false;
   /// Agents that a search queries if no agent of the first stage holds the
-  /// flow, and the packet that they get.
+  /// flow.
   std::vector<AgentPeerPtr> unqueried_agents;
+  /// The packet that these agents get, or the owner after a deferred search.
   std::vector<std::uint8_t> search_packet;
   /// Agents that returned the SYN.
   std::vector<AgentPeerPtr> refused_by;
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -26,9 +26,13 @@
 /// The second stage of a search begins after this time if the first one has not
 /// ended: an agent answers a query within milliseconds.
 constexpr milliseconds kFirstStageTimeout{30};
-/// A search among fewer agents, or with fewer in the own zone, has one stage.
-constexpr std::ptrdiff_t kMinStagedAgents = 40;
+/// Searches among fewer agents are cheap: they have one stage and are not
+/// deferred.
+constexpr std::size_t kMinStagedAgents = 40;
 constexpr std::ptrdiff_t kMinFirstStageAgents = 4;
+/// Time of a deferred search: agents report a flow that has just opened to the
+/// balancers of its zone within 100 ms.
+constexpr milliseconds kDeferTime{100};
 /// An agent that has not answered a query after this time may have been lost.
 constexpr milliseconds kQueryTimeout{100};
 /// Agents answer the first heartbeat at once; those that have not done so
@@ -235,6 +239,10 @@
       entry->pending_agents.push_back(std::exchange(entry->owner, nullptr));
     }
   }
+  if (entry->is_deferred) {
+    entry->search_packet.assign(datagram.begin(), datagram.end());
+    return;
+  }
   if (entry->state == State::kSearching) {
     if (!TryEndSearch(tuple, entry, now)) {
       if (QueryRemainingAgents(tuple, entry, now)) {
@@ -271,6 +279,28 @@
   }
   entry->state = State::kSearching;
   entry->placed = now;
+  if (m_agents.all().size() >= kMinStagedAgents &&
+      m_loss_detector.ShouldDeferSearches(now) && !packet.reset) {
+    entry->is_deferred = true;
+    entry->search_packet.assign(datagram.begin(), datagram.end());
+    m_deferred_searches.push_back(tuple);
+    Report(Kind::kHeld, tuple, nullptr, "owner_unknown", now);
+    return;
+  }
+  QueryAgents(packet, tuple, entry, datagram, now);
+}
+
+void FlowRouter::QueryAgents(const FlowPacket& packet,
+                             const FlowTuple& tuple,
+                             FlowEntry* entry,
+                             std::span<const std::uint8_t> datagram,
+                             TimePoint now) {
+  const auto route = m_view->routes.find(tuple.route);
+  if (route == m_view->routes.end()) {
+    m_flows.Erase(tuple);
+    return;
+  }
+  m_loss_detector.OnSearch();
   for (const WeightedService& each : route->second.services) {
     const auto& agents = m_agents.ForService(each.service);
     entry->pending_agents.insert(entry->pending_agents.end(), agents.begin(),
@@ -281,7 +311,7 @@
       pending.begin(), pending.end(), [&](const AgentPeerPtr& agent) {
         return agent->zone() == m_settings.zone;
       });
-  if (pending.end() - pending.begin() >= kMinStagedAgents &&
+  if (pending.size() >= kMinStagedAgents &&
       other_zones - pending.begin() >= kMinFirstStageAgents &&
       other_zones != pending.end()) {
     entry->unqueried_agents.assign(other_zones, pending.end());
@@ -300,6 +330,32 @@
   }
 }
 
+void FlowRouter::EndDeferredSearches(TimePoint now) {
+  std::vector<FlowTuple> ended;
+  std::erase_if(m_deferred_searches, [&](const FlowTuple& tuple) {
+    const FlowEntry* entry = m_flows.Find(tuple);
+    if (entry == nullptr || !entry->is_deferred) {
+      return true;
+    }
+    const bool is_due = now - entry->placed >= kDeferTime;
+    if (is_due) {
+      ended.push_back(tuple);
+    }
+    return is_due;
+  });
+  for (const FlowTuple& tuple : ended) {
+    FlowEntry* entry = m_flows.Find(tuple);
+    if (m_loss_detector.AreAllFlowsLost(now)) {
+      AbandonSearch(tuple, entry->acknowledgment, now);
+      continue;
+    }
+    entry->is_deferred = false;
+    entry->placed = now;
+    const auto datagram = std::exchange(entry->search_packet, {});
+    QueryAgents(*m_codec.Decode(datagram), tuple, entry, datagram, now);
+  }
+}
+
 bool FlowRouter::QueryRemainingAgents(const FlowTuple& tuple,
                                       FlowEntry* entry,
                                       TimePoint now) {
@@ -524,8 +580,16 @@
                           TimePoint now) {
   const AgentPeerPtr before = m_agents.Find(source);
   if (before && before->IsStale(status)) {
-    // A late copy must not show an agent as alive that has been lost since.
+    // A late copy must not show an agent as alive that has been lost since. If
+    // two reports have changed places, the flows of the first one still count.
     Report(Kind::kDropped, {}, before.get(), "stale_report", now);
+    std::vector<ReportedFlow> unknown = status.opened;
+    std::erase_if(unknown, [&](const ReportedFlow& flow) {
+      const FlowEntry* entry = m_flows.Find(flow.tuple);
+      return before->silent() || before->incarnation() != status.incarnation ||
+             (entry != nullptr && entry->state != State::kSearching);
+    });
+    ApplyReportedFlows(before, unknown, now);
     return;
   }
   const AgentPhase phase = before ? before->phase() : AgentPhase::kServing;
@@ -545,7 +609,14 @@
   for (const SocketAddress& address : status.new_balancers) {
     m_heartbeats.OnBalancerIntroduced(address, now);
   }
-  for (const ReportedFlow& held : status.opened) {
+  ApplyReportedFlows(agent, status.opened, now);
+  ProcessPendingPackets(now);
+}
+
+void FlowRouter::ApplyReportedFlows(const AgentPeerPtr& agent,
+                                    const std::vector<ReportedFlow>& flows,
+                                    TimePoint now) {
+  for (const ReportedFlow& held : flows) {
     FlowEntry* entry = m_flows.Add(held.tuple);
     if (entry == nullptr) {
       return;
@@ -565,9 +636,11 @@
     entry->owner = agent;
     entry->pending_agents.clear();
     entry->unqueried_agents.clear();
-    entry->search_packet.clear();
+    const auto packet = std::exchange(entry->search_packet, {});
+    if (std::exchange(entry->is_deferred, false)) {
+      Deliver(*entry, packet, now);
+    }
   }
-  ProcessPendingPackets(now);
 }
 
 bool FlowRouter::CanRoute(TimePoint now) const {
@@ -597,6 +670,7 @@
     OnAgentSilent(agent, now);
   }
   AdvanceSearches(now);
+  EndDeferredSearches(now);
   m_subscriptions.OnTick(m_agents, now);
   m_heartbeats.OnTick(m_agents, now);
   if (now >= m_next_sweep) {
@@ -615,7 +689,7 @@
     if (entry.owner == agent && entry.state == State::kOpen &&
         entry.flow_class.idempotent && entry.has_caller_packets) {
       abandoned.push_back(tuple);
-    } else if (entry.state == State::kSearching) {
+    } else if (entry.state == State::kSearching && !entry.is_deferred) {
       searched.push_back(tuple);
     }
   }
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -118,6 +118,15 @@
                           const FlowEntry& entry,
                           std::span<const std::uint8_t> datagram,
                           TimePoint now);
+  /// Queries the agents of the route's services, in one or two stages.
+  void QueryAgents(const FlowPacket& packet,
+                   const FlowTuple& tuple,
+                   FlowEntry* entry,
+                   std::span<const std::uint8_t> datagram,
+                   TimePoint now);
+  /// Ends the deferred searches that have waited long enough: the flow is lost,
+  /// or agents are queried.
+  void EndDeferredSearches(TimePoint now);
   /// Begins the second stage of a search, if there is one: queries the
   /// remaining agents. Returns false if the bandwidth limit does not allow it
   /// and the flow was removed.
@@ -154,6 +163,10 @@
   void OnStatus(const SocketAddress& source,
                 const AgentStatus& status,
                 TimePoint now);
+  /// Records that the agent's upstream holds the flows.
+  void ApplyReportedFlows(const AgentPeerPtr& agent,
+                          const std::vector<ReportedFlow>& flows,
+                          TimePoint now);
   void OnFlowUnknown(const SocketAddress& source,
                      const FlowUnknownMessage& message,
                      TimePoint now);
@@ -182,6 +195,7 @@
   TokenBucket m_search_bytes;
   /// Searches in their first stage.
   std::vector<FlowTuple> m_first_stage_searches;
+  std::vector<FlowTuple> m_deferred_searches;
   TimePoint m_next_sweep;
 };
 
--- a/tests/libflow/orphanedflowstest.cpp
+++ b/tests/libflow/orphanedflowstest.cpp
@@ -166,6 +166,40 @@
   }
 }
 
+TEST_CASE("pattern: after an outage of everything few flows are searched for") {
+  // Searching 60 agents for each flow would use up the links of the balancers
+  // while callers reconnect.
+  constexpr std::size_t kAgents = 60;
+  FlowSite site(2, kAgents);
+  for (const auto& agent : site.agents) {
+    agent->upstream->Restart();
+  }
+  RestartProcesses(&site, kAgents);
+  site.Run(milliseconds(200));
+  site.delivered = 0;
+  for (std::uint32_t number = 0; number < 100; ++number) {
+    SendOrphanedPacket(&site, number);
+  }
+  // A flow that opens now, and moves before any report, is not lost.
+  const FlowTuple fresh = FlowSite::Tuple(1);
+  site.SendSyn(1, fresh);
+  site.SendRequest(1, fresh);
+  site.SendRequest(0, fresh, 2);
+  site.Run(kCopyAfter);
+  for (std::uint32_t number = 0; number < 100; ++number) {
+    if (site.ResetsOf(FlowSite::Tuple(900 + number)) == 0) {
+      SendOrphanedPacket(&site, number);
+    }
+  }
+  site.Run(kCopyAfter);
+  CHECK(site.delivered <= 12 * kAgents + 10);
+  for (std::uint32_t number = 0; number < 100; ++number) {
+    CHECK(site.ResetsOf(FlowSite::Tuple(900 + number)) == 1);
+  }
+  CHECK(site.ResetsOf(fresh) == 0);
+  CHECK(site.AnswersTo(fresh) == 2);
+}
+
 TEST_CASE("all lost flows are reset within the search limit of a slow link") {
   // Each of 40 callers repeats its packet. Sending every one of these to 30
   // agents would take 240 packets per second and caller.
