End a search that was deferred twice only once

Cause: a flow that was reported and revoked between two ticks while its search was deferred stood in the list of deferred searches twice; the second time its entry was gone, and the balancer crashed. Found by reading the change; the new test crashed before it (SIGSEGV). Change: an entry that is gone or no longer deferred is passed over.

--- a/src/libflow/flowownertable.h
+++ b/src/libflow/flowownertable.h
@@ -55,7 +55,7 @@
 /// state of bounded size.
 class FlowOwnerTable {
  public:
-  /// 200,000 entries take about 40 MB.
+  /// 200,000 entries take about 50 MB.
   static constexpr std::size_t kMaxFlows = 200'000;
 
   /// Returns null for an unknown flow. The pointer is valid until the next
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -345,6 +345,10 @@
   });
   for (const FlowTuple& tuple : ended) {
     FlowEntry* entry = m_flows.Find(tuple);
+    if (entry == nullptr || !entry->is_deferred) {
+      // A flow that was deferred twice since the last tick is listed twice.
+      continue;
+    }
     if (m_loss_detector.AreAllFlowsLost(now)) {
       AbandonSearch(tuple, entry->acknowledgment, now);
       continue;
--- a/tests/libflow/orphanedflowstest.cpp
+++ b/tests/libflow/orphanedflowstest.cpp
@@ -200,6 +200,33 @@
   CHECK(site.AnswersTo(fresh) == 2);
 }
 
+TEST_CASE("a search that is deferred twice ends once") {
+  constexpr std::size_t kAgents = 60;
+  FlowSite site(2, kAgents);
+  for (const auto& agent : site.agents) {
+    agent->upstream->Restart();
+  }
+  RestartProcesses(&site, kAgents);
+  site.Run(milliseconds(200));
+  for (std::uint32_t number = 1; number <= 20; ++number) {
+    SendOrphanedPacket(&site, number);
+  }
+  const FlowTuple tuple = SendOrphanedPacket(&site);
+  // A report of the flow arrives, which its agent revokes at once.
+  FlowRouter& router = *site.balancers[0]->router;
+  const SocketAddress agent = site.agents[0]->address;
+  AgentStatus status;
+  status.incarnation = router.agents().Find(agent)->incarnation();
+  status.service = "counter";
+  status.zone = "a";
+  status.opened = {{tuple, 0}};
+  router.OnNodeMessage(agent, status, site.clock.Now());
+  router.OnNodeMessage(agent, FlowUnknownMessage{tuple}, site.clock.Now());
+  SendOrphanedPacket(&site);
+  site.Run(milliseconds(200));
+  CHECK(site.ResetsOf(tuple) == 1);
+}
+
 TEST_CASE("all lost flows are reset within the search limit of a slow link") {
   // Each of 40 callers repeats its packet. Sending every one of these to 30
   // agents would take 240 packets per second and caller.
