Ask few balancers of a large zone to keep its long flows; a known failure

Cause: the test of flows that stay in their zone failed with two balancers for each zone (213 of 240 where 216 are asked) and had been given twelve balancers in place of six. The check of the busiest process, dropped when it failed with subsets of ten, is back as well and holds with subsets of eight. The sanitizer stage leaves out what KNOWN-RED.txt lists, as the test stage passes over it. A comment names the second quorum.

--- a/scripts/sanitizers.sh
+++ b/scripts/sanitizers.sh
@@ -17,7 +17,10 @@
 build_tests build-asan address,undefined "${programs[@]}"
 for program in "${programs[@]}"; do
   echo "address and undefined-behaviour sanitizers: $program"
-  UBSAN_OPTIONS=halt_on_error=1 RC_PARAMS="seed=20261204" "build-asan/$program" --minimal
+  # Tests in KNOWN-RED.txt fail with and without sanitizers; scripts/run-tests.sh runs and prints them.
+  known_red=$(sed -n "s/^test: ${program%_tests}://p" KNOWN-RED.txt | paste -sd, -)
+  UBSAN_OPTIONS=halt_on_error=1 RC_PARAMS="seed=20261204" "build-asan/$program" --minimal \
+    ${known_red:+--test-case-exclude="$known_red"}
 done
 build_tests build-tsan thread libnet_tests
 echo "thread sanitizer: libnet_tests"
--- a/src/libflow/agentfailuredetector.h
+++ b/src/libflow/agentfailuredetector.h
@@ -37,7 +37,8 @@
   std::vector<AgentPeerPtr> OnTick(const AgentTable& agents, TimePoint now);
 
   /// Whether at least half of the agents from which reports are wanted and
-  /// which are not marked as silent report, and at least one.
+  /// which are not marked as silent report, and at least one; or enough of
+  /// those that report infrequently.
   bool HasQuorum() const { return m_quorum; }
 
   /// Whether the silence of agents may be acted on: there is a quorum, and this
--- a/tests/libflow/reportsubsettest.cpp
+++ b/tests/libflow/reportsubsettest.cpp
@@ -21,6 +21,8 @@
 struct ControlLoad {
   double per_balancer = 0;
   double per_agent = 0;
+  /// Of the process that sends most.
+  double busiest = 0;
 };
 
 ControlLoad MeasureControlLoad(std::size_t balancers, std::size_t agents) {
@@ -32,6 +34,10 @@
   site.control_sent.clear();
   site.Run(seconds(kSeconds));
   ControlLoad load;
+  for (const auto& [address, count] : site.control_sent) {
+    load.busiest =
+        std::max(load.busiest, static_cast<double>(count) / kSeconds);
+  }
   for (const auto& balancer : site.balancers) {
     load.per_balancer +=
         static_cast<double>(site.control_sent[balancer->address]);
@@ -67,6 +73,11 @@
   CHECK(large.per_agent <= 1.3 * small.per_agent);
 }
 
+TEST_CASE("the busiest process sends no more as the fleet grows") {
+  CHECK(MeasureControlLoad(90, 210).busiest <=
+        1.3 * MeasureControlLoad(9, 21).busiest);
+}
+
 TEST_CASE("a balancer gets reports from a bounded subset of a large service") {
   FlowSite site(6, 120, 3, kThreeZones);
   for (const auto& balancer : site.balancers) {
@@ -313,6 +324,22 @@
   CHECK(own_zone >= kFlows * 9 / 10);
 }
 
+TEST_CASE("long-lived flows of a zone with few balancers stay in it") {
+  // Two balancers of a zone with 30 agents, each with a subset of eight.
+  FlowSite site(6, 90, 3, kThreeZones);
+  constexpr std::uint32_t kFlows = 240;
+  std::size_t own_zone = 0;
+  for (std::uint32_t caller = 0; caller < kFlows; ++caller) {
+    site.Open(caller % 6, FlowSite::Tuple(caller));
+    site.Run(milliseconds(10));
+    own_zone += site.OwnerOf(FlowSite::Tuple(caller))->zone ==
+                        FlowSite::ZoneName(caller % 3)
+                    ? 1
+                    : 0;
+  }
+  CHECK(own_zone >= kFlows * 9 / 10);
+}
+
 TEST_CASE("pattern: a zone with all callers also uses the other zones") {
   // Two balancers of one zone place all flows; the even share of the upstreams
   // that they select from, up to 40, is at least 6 flows.
