Review: flows of leaving upstreams are reset after a rolling restart

Cause: a restarted balancer is not introduced to an agent that has left the store and that noted a report interval of 0 for the balancer's address. Case 1 shows it with three of 24 upstreams that leave and two planned restarts; the stand-ins of all cases come with it.

--- /dev/null
+++ b/review/standin/cases.cpp
@@ -0,0 +1,295 @@
+#include "cases.h"
+
+#include <signal.h>
+
+#include <cstdio>
+
+#include "site.h"
+
+namespace standin {
+
+namespace {
+
+constexpr std::uint16_t kFeedPort = 443;
+constexpr std::uint16_t kOrderPort = 8080;
+constexpr std::uint16_t kSheetPort = 8443;
+constexpr double kDrainMs = 3000;
+constexpr int kCouldNotRun = 2;
+
+struct RouteText {
+  std::uint16_t port;
+  std::string kind;
+  // One service, or the weight of each.
+  std::string service;
+  int counter_weight = 0;
+  int ledger_weight = 0;
+};
+
+std::string Backends(const RouteText& route) {
+  if (!route.service.empty()) {
+    return R"("service":")" + route.service + "\"";
+  }
+  return R"("backends":[{"service":"counter","weight":)" +
+         std::to_string(route.counter_weight) +
+         R"(},{"service":"ledger","weight":)" +
+         std::to_string(route.ledger_weight) + "}]";
+}
+
+// A configuration as the operator writes it, with the services of the site.
+std::string Configuration(int version,
+                          const std::vector<RouteText>& routes,
+                          double cold_per_s = 0) {
+  std::string text =
+      R"({"version":)" + std::to_string(version) + R"(,"routes":[)";
+  for (const RouteText& each : routes) {
+    text += (each.port == routes.front().port ? "" : ",") +
+            std::string(R"({"name":"r-)") + std::to_string(each.port) +
+            R"(","host":"198.18.0.1","prefix":"/)" + std::to_string(each.port) +
+            R"(/","kind":")" + each.kind +
+            R"(","timeout_ms":1000,"slo_ms":150,"priority":1,)" +
+            Backends(each) + R"(,"max_attempts":2})";
+  }
+  text += R"(],"services":[)";
+  for (const char* name : {"counter", "ledger"}) {
+    text += std::string(name == std::string("counter") ? "" : ",") +
+            R"({"name":")" + name +
+            R"(","health_path":"/health","max_conns":2000,"protocol":"h1",)"
+            R"("tls":false,"cold_s":2.0,"cold_per_s":)" +
+            std::to_string(cold_per_s) + "}";
+  }
+  return text + R"(],"limits":{"max_header_bytes":16384,)"
+                R"("max_body_bytes":262144,"header_timeout_ms":3000,)"
+                R"("idle_timeout_ms":15000}})";
+}
+
+const std::vector<RouteText> kRoutes = {{kFeedPort, "safe", "counter"},
+                                        {kOrderPort, "unsafe", "counter"},
+                                        {kSheetPort, "download", "ledger"}};
+
+// FLOW (a): counts resets of the system's own on flows that a live target
+// holds.
+void CheckResets(Site* site) {
+  for (const auto& each : site->clients) {
+    each->on_reset = [site](const Flow& flow, const Address& sender,
+                            const Packet& packet) {
+      const int holder = site->Holder(flow);
+      if (packet.sum == 0 && holder >= 0) {
+        site->record.Broken(
+            "FLOW: " + Text(sender) + " resets " + Text(flow) + ", which " +
+            Text(site->targets[static_cast<std::size_t>(holder)]->address) +
+            " holds open");
+      }
+    };
+  }
+}
+
+void StartFeeds(Site* site, int in_each_zone) {
+  for (const auto& each : site->clients) {
+    for (int i = 0; i < in_each_zone; ++i) {
+      each->Start({kRouteIp, kFeedPort}, true);
+    }
+  }
+}
+
+void StopAndStart(Site* site, Process* process) {
+  site->record.Write("SIGTERM to " + process->name);
+  site->Signal(process, SIGTERM);
+  for (const double end = Now() + 8000; process->pid > 0 && Now() < end;) {
+    site->Run(20);
+  }
+  site->Run(1000);
+  site->Spawn(process);
+}
+
+int Answered(const Site& site) {
+  int answered = 0;
+  for (const auto& each : site.clients) {
+    answered += each->answered;
+  }
+  return answered;
+}
+
+int Finish(Site* site) {
+  int failed = 0;
+  for (const auto& each : site->clients) {
+    failed += each->failed;
+  }
+  site->record.Write("answered " + std::to_string(Answered(*site)) +
+                     ", failed " + std::to_string(failed) + ", broken " +
+                     std::to_string(site->record.broken()));
+  if (Answered(*site) == 0) {
+    return kCouldNotRun;
+  }
+  return site->record.broken() > 0 ? 1 : 0;
+}
+
+const std::vector<Site::Member> kTwoZones = {
+    {"merkato", ""},     {"bole", ""},           {"merkato", "counter"},
+    {"bole", "counter"}, {"merkato", "counter"}, {"merkato", "ledger"},
+    {"bole", "ledger"}};
+
+// An entry of another writer names a live target under a service that no
+// configuration names.
+int ForeignService(const std::string& folder, const std::string& work) {
+  Site site(folder, work, kTwoZones);
+  site.MakeCommands();
+  site.store->Put("op/config", Configuration(7, kRoutes));
+  if (!site.Start()) {
+    return kCouldNotRun;
+  }
+  CheckResets(&site);
+  StartFeeds(&site, 9);
+  site.Run(5000);
+  if (site.trouble) {
+    std::string entry = site.Entry(0, "ready");
+    entry.replace(entry.find("counter"), 7, "counter-2025");
+    site.store->Put("servers/i-2025-0", entry);
+    site.record.Write("another writer puts servers/i-2025-0 " + entry);
+  }
+  site.Run(8000);
+  return Finish(&site);
+}
+
+// An entry of another writer, with fields missing, names a target that drains.
+int ForeignFields(const std::string& folder, const std::string& work) {
+  Site site(folder, work, kTwoZones);
+  site.MakeCommands();
+  site.store->Put("op/config", Configuration(7, kRoutes));
+  if (!site.Start()) {
+    return kCouldNotRun;
+  }
+  StartFeeds(&site, 4);
+  double drained = 0;
+  site.targets[0]->on_opening = [&](const Flow& flow) {
+    if (drained > 0 && Now() - drained > kDrainMs) {
+      site.record.Broken("DRAIN: " + Text(flow) + " reaches " +
+                         Text(site.targets[0]->address) + " " +
+                         std::to_string(static_cast<int>(Now() - drained)) +
+                         " ms after the ack of draining");
+    }
+  };
+  double next = 0;
+  site.on_turn = [&] {
+    if (Now() >= next) {
+      next = Now() + 50;
+      for (const auto& each : site.clients) {
+        each->Start({kRouteIp, kOrderPort}, false);
+      }
+    }
+  };
+  site.Run(3000);
+  site.targets[0]->draining = true;
+  site.PutEntry(0, "draining");
+  drained = Now();
+  site.record.Write("the target " + Text(site.targets[0]->address) +
+                    " reports draining; the store has acknowledged it");
+  site.Run(1000);
+  if (site.trouble) {
+    std::string entry = site.Entry(0, "ready");
+    const std::string version = R"("version":"v1",)";
+    entry.erase(entry.find(version), version.size());
+    site.store->Put("servers/i-2025-0", entry);
+    site.record.Write("another writer puts servers/i-2025-0 " + entry);
+  }
+  site.Run(5000);
+  // The target leaves; what it took too late is lost with it.
+  site.record.Write("the target " + Text(site.targets[0]->address) +
+                    " exits and its own entry is removed");
+  site.targets[0]->Exit();
+  site.store->Remove(site.Key(0));
+  site.Run(4000);
+  return Finish(&site);
+}
+
+// A configuration changes the weights of a route's services, so that one of
+// them gets no new flows; then the only balancer of a zone is stopped as
+// planned.
+int ChangedWeights(const std::string& folder, const std::string& work) {
+  Site site(folder, work, kTwoZones);
+  site.MakeCommands();
+  std::vector<RouteText> routes = kRoutes;
+  routes[0] = {kFeedPort, "safe", "", 50, 50};
+  site.store->Put("op/config", Configuration(7, routes));
+  if (!site.Start()) {
+    return kCouldNotRun;
+  }
+  CheckResets(&site);
+  StartFeeds(&site, 8);
+  site.Run(5000);
+  if (site.trouble) {
+    routes[0] = {kFeedPort, "safe", "", 100, 0};
+  }
+  site.store->Put("op/config", Configuration(11, routes));
+  site.record.Write("the operator puts version 11: " + Backends(routes[0]));
+  site.Run(5000);
+  Process* front = site.Find("front-merkato-0");
+  StopAndStart(&site, front);
+  site.Run(6000);
+  return Finish(&site);
+}
+
+// Targets leave while the balancers are stopped and started in turn. The
+// service has more targets than a balancer asks for reports.
+int LeavingTarget(const std::string& folder, const std::string& work) {
+  constexpr std::size_t kLeaving = 3;
+  std::vector<Site::Member> members = {{"merkato", ""}, {"bole", ""}};
+  for (int i = 0; i < 24; ++i) {
+    members.push_back({i % 2 == 0 ? "merkato" : "bole", "counter"});
+  }
+  Site site(folder, work, members);
+  site.MakeCommands();
+  site.store->Put("op/config", Configuration(7, kRoutes));
+  if (!site.Start()) {
+    return kCouldNotRun;
+  }
+  CheckResets(&site);
+  // Feeds from bole; each carries a request every 7.5 s.
+  for (int i = 0; i < 72; ++i) {
+    site.clients[0]->Start({kRouteIp, kFeedPort}, true, 7500);
+  }
+  site.Run(2000);
+  for (std::size_t i = 0; i < kLeaving; ++i) {
+    site.targets[i]->draining = true;
+    site.PutEntry(i, "draining");
+    site.record.Write("the target " + Text(site.targets[i]->address) +
+                      " reports draining");
+  }
+  const double drained = Now();
+  bool removed = false;
+  site.on_turn = [&] {
+    if (!removed && Now() - drained > kDrainMs + 500) {
+      removed = true;
+      for (std::size_t i = 0; i < kLeaving; ++i) {
+        site.store->Remove(site.Key(i));
+      }
+      site.record.Write("their entries are removed; they still serve");
+    }
+  };
+  site.Run(1000);
+  if (site.trouble) {
+    StopAndStart(&site, site.Find("front-merkato-0"));
+    site.Run(300);
+    StopAndStart(&site, site.Find("front-bole-1"));
+  }
+  site.Run(8000 - (Now() - drained));
+  for (std::size_t i = 0; i < kLeaving; ++i) {
+    site.targets[i]->Exit();
+  }
+  site.record.Write("the targets exit");
+  site.Run(1000);
+  return Finish(&site);
+}
+
+}  // namespace
+
+const std::map<std::string, Case>& Cases() {
+  static const std::map<std::string, Case> cases = {
+      {"foreign-service", ForeignService},
+      {"foreign-fields", ForeignFields},
+      {"changed-weights", ChangedWeights},
+      {"leaving-target", LeavingTarget},
+  };
+  return cases;
+}
+
+}  // namespace standin
