Review: planned restarts of agents reset idle flows

Cause: an agent that stops does not tell the balancers that want no reports, and a balancer takes an agent for lost 500 ms after it first asks it for reports.

--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -280,13 +280,68 @@
   return Finish(&site);
 }
 
+// The balancers are stopped and started in turn, then nodes beside targets. The
+// service has more targets than a balancer asks for reports.
+int RollingAgents(const std::string& folder, const std::string& work) {
+  constexpr std::size_t kTargets = 48;
+  constexpr std::size_t kRestarted = 5;
+  constexpr double kGapMs = 1300;
+  constexpr double kRestartMs = 1000;
+  std::vector<Site::Member> members(2, {"merkato", ""});
+  members.insert(members.end(), kTargets, {"merkato", "counter"});
+  Site site(folder, work, members);
+  site.MakeCommands();
+  site.store->Put("op/config", Configuration(7, kRoutes));
+  if (!site.Start()) {
+    return kCouldNotRun;
+  }
+  CheckResets(&site);
+  for (std::size_t i = 0; i < 4 * kTargets; ++i) {
+    site.clients[0]->Start({kRouteIp, kFeedPort}, true, 14000);
+  }
+  site.Run(1000);
+  StopAndStart(&site, site.Find("front-merkato-0"));
+  site.Run(700);
+  StopAndStart(&site, site.Find("front-merkato-1"));
+  site.Run(700);
+  const double begin = Now();
+  std::vector<double> ended(kRestarted, 0);
+  std::vector<int> stage(kRestarted, 0);
+  site.on_turn = [&] {
+    for (std::size_t i = 0; i < kRestarted; ++i) {
+      Process* side = site.Find("side-merkato-" + std::to_string(i));
+      const double due = begin + kGapMs * static_cast<double>(i);
+      if (stage[i] == 0 && Now() >= due) {
+        stage[i] = 1;
+        if (site.trouble) {
+          site.record.Write("SIGTERM to " + side->name);
+          site.Signal(side, SIGTERM);
+        }
+      } else if (stage[i] == 1 &&
+                 (side->pid == 0 || (!site.trouble && Now() >= due + 1500))) {
+        stage[i] = 2;
+        ended[i] = Now();
+        for (const Flow& flow : site.targets[i]->OpenFlows()) {
+          site.clients[0]->SendNow(flow);
+        }
+      } else if (stage[i] == 2 && Now() >= ended[i] + kRestartMs) {
+        stage[i] = 3;
+        if (site.trouble) {
+          site.Spawn(side);
+        }
+      }
+    }
+  };
+  site.Run(kGapMs * kRestarted + 6000);
+  return Finish(&site);
+}
+
 }  // namespace
 
 const std::map<std::string, Case>& Cases() {
   static const std::map<std::string, Case> cases = {
-      {"foreign-service", ForeignService},
-      {"foreign-fields", ForeignFields},
-      {"changed-weights", ChangedWeights},
+      {"foreign-service", ForeignService}, {"foreign-fields", ForeignFields},
+      {"rolling-agents", RollingAgents},   {"changed-weights", ChangedWeights},
       {"leaving-target", LeavingTarget},
   };
   return cases;
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -74,6 +74,16 @@
     return found != m_flows.end() && found->second.open;
   }
 
+  std::vector<Flow> OpenFlows() const {
+    std::vector<Flow> open;
+    for (const auto& [flow, state] : m_flows) {
+      if (state.open) {
+        open.push_back(flow);
+      }
+    }
+    return open;
+  }
+
   // Called with the flow of each SYN that the target takes.
   std::function<void(const Flow&)> on_opening = [](const Flow&) {};
 
@@ -253,6 +263,15 @@
     m_attempts.push_back(attempt);
   }
 
+  // The user of an idle flow has the next request now.
+  void SendNow(const Flow& flow) {
+    for (Attempt& each : m_attempts) {
+      if (each.flow == flow && each.open && !each.waits) {
+        each.next = Now();
+      }
+    }
+  }
+
   int answered = 0;
   int failed = 0;
 
