Review: spread the restarted agents of case 5 over the address range

Cause: a balancer's choice of agents falls on neighbouring addresses together, so that five neighbours were all reported to in some runs. Change: every tenth agent is restarted.

--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -285,6 +285,7 @@
 int RollingAgents(const std::string& folder, const std::string& work) {
   constexpr std::size_t kTargets = 48;
   constexpr std::size_t kRestarted = 5;
+  constexpr std::size_t kStep = 10;
   constexpr double kGapMs = 1300;
   constexpr double kRestartMs = 1000;
   std::vector<Site::Member> members(2, {"merkato", ""});
@@ -309,7 +310,7 @@
   std::vector<int> stage(kRestarted, 0);
   site.on_turn = [&] {
     for (std::size_t i = 0; i < kRestarted; ++i) {
-      Process* side = site.Find("side-merkato-" + std::to_string(i));
+      Process* side = site.Find("side-merkato-" + std::to_string(kStep * i));
       const double due = begin + kGapMs * static_cast<double>(i);
       if (stage[i] == 0 && Now() >= due) {
         stage[i] = 1;
@@ -321,7 +322,7 @@
                  (side->pid == 0 || (!site.trouble && Now() >= due + 1500))) {
         stage[i] = 2;
         ended[i] = Now();
-        for (const Flow& flow : site.targets[i]->OpenFlows()) {
+        for (const Flow& flow : site.targets[kStep * i]->OpenFlows()) {
           site.clients[0]->SendNow(flow);
         }
       } else if (stage[i] == 2 && Now() >= ended[i] + kRestartMs) {
