Review: report, and restarted agents of case 5 that hold flows

Change: it restarts nodes whose targets hold flows; holders of a flow are told apart by its sequence numbers.

--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -70,9 +70,9 @@
 // holds.
 void CheckResets(Site* site) {
   for (const auto& each : site->clients) {
-    each->on_reset = [site](const Flow& flow, const Address& sender,
-                            const Packet& packet) {
-      const int holder = site->Holder(flow);
+    each->on_reset = [site](const Flow& flow, std::uint32_t ack,
+                            const Address& sender, const Packet& packet) {
+      const int holder = site->Holder(flow, ack);
       if (packet.sum == 0 && holder >= 0) {
         site->record.Broken(
             "FLOW: " + Text(sender) + " resets " + Text(flow) + ", which " +
@@ -285,7 +285,6 @@
 int RollingAgents(const std::string& folder, const std::string& work) {
   constexpr std::size_t kTargets = 48;
   constexpr std::size_t kRestarted = 5;
-  constexpr std::size_t kStep = 10;
   constexpr double kGapMs = 1300;
   constexpr double kRestartMs = 1000;
   std::vector<Site::Member> members(2, {"merkato", ""});
@@ -305,12 +304,25 @@
   site.Run(700);
   StopAndStart(&site, site.Find("front-merkato-1"));
   site.Run(700);
+  // Nodes beside targets that hold flows, spread over all of these.
+  std::vector<std::size_t> used;
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    if (site.targets[i]->OpenFlows().size() >= 3) {
+      used.push_back(i);
+    }
+  }
+  if (used.size() < kRestarted) {
+    return kCouldNotRun;
+  }
+  const auto restarted = [&](std::size_t i) {
+    return used[i * used.size() / kRestarted];
+  };
   const double begin = Now();
   std::vector<double> ended(kRestarted, 0);
   std::vector<int> stage(kRestarted, 0);
   site.on_turn = [&] {
     for (std::size_t i = 0; i < kRestarted; ++i) {
-      Process* side = site.Find("side-merkato-" + std::to_string(kStep * i));
+      Process* side = site.Find("side-merkato-" + std::to_string(restarted(i)));
       const double due = begin + kGapMs * static_cast<double>(i);
       if (stage[i] == 0 && Now() >= due) {
         stage[i] = 1;
@@ -322,7 +334,7 @@
                  (side->pid == 0 || (!site.trouble && Now() >= due + 1500))) {
         stage[i] = 2;
         ended[i] = Now();
-        for (const Flow& flow : site.targets[kStep * i]->OpenFlows()) {
+        for (const Flow& flow : site.targets[restarted(i)]->OpenFlows()) {
           site.clients[0]->SendNow(flow);
         }
       } else if (stage[i] == 2 && Now() >= ended[i] + kRestartMs) {
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -69,9 +69,12 @@
   }
 
   bool IsBound() const { return m_socket >= 0 && m_listener >= 0; }
-  bool Holds(const Flow& flow) const {
+  // Whether the target has the end of the handshake of the flow whose client
+  // acknowledges `ack`.
+  bool Holds(const Flow& flow, std::uint32_t ack) const {
     const auto found = m_flows.find(flow);
-    return found != m_flows.end() && found->second.open;
+    return found != m_flows.end() && found->second.open &&
+           IsOwnAck(ack, found->second);
   }
 
   std::vector<Flow> OpenFlows() const {
@@ -135,6 +138,7 @@
   static constexpr double kWorkMs = 20;
 
   struct State {
+    std::uint32_t syn_seq = 0;
     std::uint32_t seq = 0;
     bool open = false;
     std::uint32_t running_seq = 0;
@@ -150,6 +154,10 @@
     std::string request;
   };
 
+  static bool IsOwnAck(std::uint32_t ack, const State& state) {
+    return ack - state.seq <= 0x10000;
+  }
+
   void Send(const Flow& flow, Packet packet) {
     packet.src = flow.route;
     packet.dst = flow.client;
@@ -177,8 +185,14 @@
     }
     auto found = m_flows.find(flow);
     if ((packet.flags & kSyn) != 0) {
+      if (found != m_flows.end() && found->second.syn_seq != packet.seq) {
+        // A new flow of a client that uses the port again.
+        m_flows.erase(found);
+        found = m_flows.end();
+      }
       if (found == m_flows.end()) {
         found = m_flows.emplace(flow, State()).first;
+        found->second.syn_seq = packet.seq;
         found->second.seq = m_next_seq += 1000003;
         m_record->Write("target " + Text(address) + " takes the SYN of " +
                         Text(flow));
@@ -188,7 +202,7 @@
            {found->second.seq, packet.seq + 1, {}, {}, kSyn | kAck, 0, ""});
       return;
     }
-    if (found == m_flows.end() || packet.ack - found->second.seq > 0x10000) {
+    if (found == m_flows.end() || !IsOwnAck(packet.ack, found->second)) {
       bytes[24] |= kBounced;
       bytes[25] = 0;
       SendTo(m_socket, m_outbound, bytes);
@@ -244,17 +258,17 @@
   // Returns the balancer that the routers choose; none: the packet is lost.
   std::function<std::optional<Address>(const Flow&)> route;
   // Called when a reset arrives on a flow whose handshake is complete.
-  std::function<void(const Flow&, const Address& sender, const Packet&)>
-      on_reset = [](const Flow&, const Address&, const Packet&) {};
+  // `ack` is the last acknowledgment of the client.
+  std::function<void(const Flow&,
+                     std::uint32_t ack,
+                     const Address& sender,
+                     const Packet&)>
+      on_reset =
+          [](const Flow&, std::uint32_t, const Address&, const Packet&) {};
 
   // Opens a flow that stays open for many requests, or one for one request.
-  // After `most` requests, if set, it is closed.
-  void Start(const Address& to,
-             bool stays,
-             double pause_ms = 500,
-             int most = 0) {
+  void Start(const Address& to, bool stays, double pause_ms = 500) {
     Attempt attempt;
-    attempt.most = most;
     attempt.pause = pause_ms;
     attempt.flow = {{m_ip, ++m_port}, to};
     attempt.stays = stays;
@@ -289,7 +303,7 @@
     }
     std::vector<Attempt> again;
     std::erase_if(m_attempts, [&](const Attempt& each) {
-      if (each.done && each.stays && each.most == 0) {
+      if (each.done && each.stays) {
         again.push_back(each);
       }
       return each.done;
@@ -312,7 +326,6 @@
     std::uint32_t peer = 0;
     int copies = 0;
     int requests = 0;
-    int most = 0;
     double opened_at = 0;
     double sent_at = 0;
     double next = 0;
@@ -380,7 +393,7 @@
             "client " + Text(flow) + " is reset by " + Text(sender) +
             (packet.sum == 0 ? ", of the system's own" : ", of the target"));
         if (each.open) {
-          on_reset(flow, sender, packet);
+          on_reset(flow, each.peer, sender, packet);
         }
         Fail(&each, "reset");
       } else if ((packet.flags & kSyn) != 0) {
@@ -400,8 +413,7 @@
         each.seq += static_cast<std::uint32_t>(each.data.size());
         each.waits = false;
         each.next = now + each.pause;
-        if (!each.stays || each.requests == each.most ||
-            (packet.flags & kFin) != 0) {
+        if (!each.stays || (packet.flags & kFin) != 0) {
           Send(flow, {each.seq, each.peer, {}, {}, kFin | kAck, 0, ""});
           each.done = true;
         }
@@ -606,9 +618,9 @@
   }
 
   // The target that holds the flow, with the handshake complete; -1 for none.
-  int Holder(const Flow& flow) const {
+  int Holder(const Flow& flow, std::uint32_t ack) const {
     for (std::size_t i = 0; i < targets.size(); ++i) {
-      if (targets[i]->Holds(flow)) {
+      if (targets[i]->Holds(flow, ack)) {
         return static_cast<int>(i);
       }
     }
