--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <cstdio>
 
 #include "site.h"
@@ -349,13 +350,284 @@
   return Finish(&site);
 }
 
+// Routes that see no traffic, so that a configuration fits into no datagram.
+std::vector<RouteText> WithIdleRoutes(std::vector<RouteText> routes) {
+  for (std::uint16_t port = 10000; port < 10040; ++port) {
+    routes.push_back({port, "safe", "ledger"});
+  }
+  return routes;
+}
+
+constexpr std::uint16_t kNewPort = 9443;
+constexpr double kPropagationMs = 3000;
+
+// The readers of the operator's items are cut off from the store at the moment
+// of a change that adds a route. Flows on it go to all other balancers.
+int CutReaders(const std::string& folder, const std::string& work) {
+  std::vector<Site::Member> members;
+  for (int i = 0; i < 6; ++i) {
+    members.push_back({i % 2 == 0 ? "merkato" : "bole", ""});
+  }
+  members.insert(members.end(), {{"merkato", "counter"},
+                                 {"bole", "counter"},
+                                 {"merkato", "ledger"},
+                                 {"bole", "ledger"}});
+  Site site(folder, work, members);
+  site.MakeCommands();
+  std::vector<RouteText> routes = WithIdleRoutes(kRoutes);
+  site.store->Put("op/config", Configuration(7, routes));
+  if (!site.Start()) {
+    return kCouldNotRun;
+  }
+  StartFeeds(&site, 4);
+  Clients prober(site.Ip(6, 0), "prober", &site.record);
+  std::vector<const Process*> others;
+  std::map<Flow, double> sent;
+  prober.route = [&](const Flow& flow) -> std::optional<Address> {
+    sent.try_emplace(flow, Now());
+    return Address{others[flow.client.port % others.size()]->ip, kPacketPort};
+  };
+  double ack = 0;
+  prober.on_refused = [&](const Flow& flow, const Packet& packet) {
+    if (packet.sum == 0 && sent[flow] - ack > kPropagationMs) {
+      site.record.Broken("CONFIG: " + Text(flow) + ", sent " +
+                         std::to_string(static_cast<int>(sent[flow] - ack)) +
+                         " ms after the ack, is refused");
+    }
+  };
+  for (int round = 0; round < 3; ++round) {
+    site.on_turn = [] {};
+    site.Run(7000 + 310 * round);
+    const auto readers = site.store->Watchers("op/");
+    others.clear();
+    std::size_t number = 0;
+    for (const Process& each : site.processes) {
+      if (Site::IsBalancer(each)) {
+        if (std::find(readers.begin(), readers.end(), number) ==
+            readers.end()) {
+          others.push_back(&each);
+        }
+        ++number;
+      }
+    }
+    if (others.empty()) {
+      return kCouldNotRun;
+    }
+    if (site.trouble) {
+      for (const std::size_t reader : readers) {
+        site.store->SetSilent(reader, true);
+        site.record.Write("balancer " + std::to_string(reader) +
+                          " is cut off from the store");
+      }
+    }
+    routes.push_back(
+        {static_cast<std::uint16_t>(kNewPort + round), "safe", "counter"});
+    site.store->Put("op/config", Configuration(11 + 4 * round, routes));
+    ack = Now();
+    site.record.Write("the operator adds a route");
+    double next = 0;
+    site.on_turn = [&] {
+      prober.Run();
+      if (Now() >= next) {
+        next = Now() + 50;
+        for (std::size_t i = 0; i < others.size(); ++i) {
+          prober.Start({kRouteIp, static_cast<std::uint16_t>(kNewPort + round)},
+                       false);
+        }
+      }
+    };
+    site.Run(4000);
+    for (const std::size_t reader : readers) {
+      site.store->SetSilent(reader, false);
+    }
+  }
+  return Finish(&site);
+}
+
+// A target falls silent for good; its address goes to a target of another
+// service, with a node of its own.
+int ReusedAddress(const std::string& folder, const std::string& work) {
+  constexpr double kReuseAfterMs = 2000;
+  Site site(folder, work, kTwoZones);
+  site.MakeCommands();
+  site.store->Put("op/config", Configuration(7, kRoutes));
+  if (!site.Start()) {
+    return kCouldNotRun;
+  }
+  double next = 0;
+  site.on_turn = [&] {
+    if (Now() >= next) {
+      next = Now() + 10;
+      for (const auto& each : site.clients) {
+        each->Start({kRouteIp, kOrderPort}, false);
+      }
+    }
+  };
+  site.Run(2000);
+  Target* target = site.targets[0].get();
+  Process* side = site.Find("side-merkato-0");
+  site.record.Write("the target " + Text(target->address) + " falls silent");
+  target->Exit();
+  site.Run(kReuseAfterMs);
+  if (site.trouble) {
+    site.Signal(side, SIGKILL);
+    for (const double end = Now() + 2000; side->pid > 0 && Now() < end;) {
+      site.Run(1);
+    }
+    if (!site.Reuse(0, "ledger")) {
+      return kCouldNotRun;
+    }
+    site.targets[0]->on_opening = [&](const Flow& flow) {
+      if (flow.route.port != kSheetPort) {
+        site.record.Broken("ROUTE: " + Text(flow) + " reaches " +
+                           Text(site.targets[0]->address) + " of ledger");
+      }
+    };
+    site.Spawn(side);
+    site.store->Remove(site.Key(0));
+    std::string entry = site.Entry(0, "ready");
+    entry.replace(entry.find("\"born\":") + 7, 13, "1790000900000");
+    site.store->Put("servers/i-reused", entry);
+    site.record.Write("its address goes to a target of ledger");
+  }
+  site.Run(4000);
+  return Finish(&site);
+}
+
+// A configuration adds a route. Flows on it open at a balancer that has it, and
+// their next packets come through one that has not.
+int NewRoute(const std::string& folder, const std::string& work) {
+  std::vector<Site::Member> members;
+  for (int i = 0; i < 6; ++i) {
+    members.push_back({i % 2 == 0 ? "merkato" : "bole", ""});
+  }
+  members.insert(members.end(), {{"merkato", "counter"}, {"bole", "counter"}});
+  Site site(folder, work, members);
+  site.MakeCommands();
+  std::vector<RouteText> routes = WithIdleRoutes(kRoutes);
+  site.store->Put("op/config", Configuration(7, routes));
+  if (!site.Start()) {
+    return kCouldNotRun;
+  }
+  StartFeeds(&site, 4);
+  Clients prober(site.Ip(6, 0), "prober", &site.record);
+  std::vector<Address> balancers;
+  for (const Process& each : site.processes) {
+    if (Site::IsBalancer(each)) {
+      balancers.push_back({each.ip, kPacketPort});
+    }
+  }
+  // The routers move each flow to the next balancer after its first request, as
+  // they do when one joins or leaves.
+  prober.route = [&](const Flow& flow) -> std::optional<Address> {
+    const bool moves = prober.Requests(flow) > 1 && site.trouble;
+    return balancers[(flow.client.port + (moves ? 1U : 0U)) % balancers.size()];
+  };
+  prober.on_reset = [&](const Flow& flow, std::uint32_t ack,
+                        const Address& sender, const Packet& packet) {
+    if (packet.sum == 0 && site.Holder(flow, ack) >= 0) {
+      site.record.Broken("FLOW: " + Text(sender) + " resets " + Text(flow));
+    }
+  };
+  for (int round = 0; round < 5; ++round) {
+    site.on_turn = [] {};
+    site.Run(1500);
+    const auto port = static_cast<std::uint16_t>(kNewPort + round);
+    routes.push_back({port, "safe", "counter"});
+    site.store->Put("op/config", Configuration(11 + 4 * round, routes));
+    site.record.Write("the operator adds a route");
+    double next = 0;
+    const double begin = Now();
+    site.on_turn = [&] {
+      prober.Run();
+      if (Now() >= next) {
+        next = Now() + 20;
+        if (Now() - begin < 500) {
+          prober.Start({kRouteIp, port}, true, 40);
+        }
+      }
+    };
+    site.Run(1500);
+  }
+  return Finish(&site);
+}
+
+// Entries of another writer that are nested deeply, have a number too large or
+// a port out of range; at the start of all processes, and later.
+int OddEntries(const std::string& folder, const std::string& work) {
+  constexpr std::size_t kNesting = 300000;
+  Site site(folder, work, kTwoZones);
+  site.MakeCommands();
+  const auto put = [&](const std::string& name) {
+    const std::string entry = site.Entry(0, "ready");
+    const auto replaced = [&](const std::string& from, const std::string& to) {
+      std::string text = entry;
+      text.replace(text.find(from), from.size(), to);
+      return text;
+    };
+    site.store->Put("servers/a-" + name + "-nested",
+                    std::string(kNesting, '['));
+    site.store->Put("servers/a-" + name + "-closed",
+                    replaced("\"v1\"", std::string(kNesting, '[') +
+                                           std::string(kNesting, ']')));
+    site.store->Put("servers/a-" + name + "-number",
+                    replaced("\"seq\":4", "\"seq\":1e999"));
+    site.store->Put("servers/a-" + name + "-slots",
+                    replaced("_limit\":3", "_limit\":99999999999999999999"));
+    site.store->Put("servers/a-" + name + "-port",
+                    replaced(":" + std::to_string(kAppPort), ":70000"));
+    site.store->Put("op/evacuate", std::string(kNesting, '{'));
+  };
+  if (site.trouble) {
+    put("start");
+  }
+  site.store->Put("op/config", Configuration(7, kRoutes));
+  if (!site.Start()) {
+    return kCouldNotRun;
+  }
+  CheckResets(&site);
+  StartFeeds(&site, 4);
+  site.Run(2000);
+  if (site.trouble) {
+    put("later");
+    site.SendOddMessages();
+    site.record.Write("another writer puts odd entries");
+  }
+  site.Run(1000);
+  // The list is still followed: a target that drains gets no new flows.
+  site.targets[0]->draining = true;
+  site.PutEntry(0, "draining");
+  const double drained = Now();
+  site.targets[0]->on_opening = [&](const Flow& flow) {
+    if (Now() - drained > kDrainMs) {
+      site.record.Broken("DRAIN: " + Text(flow) + " reaches a draining target");
+    }
+  };
+  double next = 0;
+  site.on_turn = [&] {
+    if (Now() >= next) {
+      next = Now() + 50;
+      for (const auto& each : site.clients) {
+        each->Start({kRouteIp, kOrderPort}, false);
+      }
+    }
+  };
+  site.Run(6000);
+  if (site.AnyEnded()) {
+    site.record.Broken("LOST: a process has ended by itself");
+  }
+  return Finish(&site);
+}
+
 }  // namespace
 
 const std::map<std::string, Case>& Cases() {
   static const std::map<std::string, Case> cases = {
       {"foreign-service", ForeignService}, {"foreign-fields", ForeignFields},
       {"rolling-agents", RollingAgents},   {"changed-weights", ChangedWeights},
-      {"leaving-target", LeavingTarget},
+      {"leaving-target", LeavingTarget},   {"cut-readers", CutReaders},
+      {"reused-address", ReusedAddress},   {"new-route", NewRoute},
+      {"odd-entries", OddEntries},
   };
   return cases;
 }
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -266,6 +266,10 @@
       on_reset =
           [](const Flow&, std::uint32_t, const Address&, const Packet&) {};
 
+  // Called when a reset arrives on a flow that isn't open yet.
+  std::function<void(const Flow&, const Packet&)> on_refused =
+      [](const Flow&, const Packet&) {};
+
   // Opens a flow that stays open for many requests, or one for one request.
   void Start(const Address& to, bool stays, double pause_ms = 500) {
     Attempt attempt;
@@ -286,6 +290,16 @@
     }
   }
 
+  // The number of requests that were sent on the flow.
+  int Requests(const Flow& flow) const {
+    for (const Attempt& each : m_attempts) {
+      if (each.flow == flow) {
+        return each.requests;
+      }
+    }
+    return 0;
+  }
+
   int answered = 0;
   int failed = 0;
 
@@ -394,6 +408,8 @@
             (packet.sum == 0 ? ", of the system's own" : ", of the target"));
         if (each.open) {
           on_reset(flow, each.peer, sender, packet);
+        } else {
+          on_refused(flow, packet);
         }
         Fail(&each, "reset");
       } else if ((packet.flags & kSyn) != 0) {
@@ -513,6 +529,53 @@
     record.Write("start " + process->name);
   }
 
+  // Whether a process ended that no signal of ours was to end.
+  bool AnyEnded() const {
+    for (const Process& each : processes) {
+      if (each.pid == 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  // Messages that no program of ours sends, to the node ports of all processes:
+  // arrays nested as deeply as a datagram allows, and numbers out of range.
+  void SendOddMessages() {
+    const int socket = Open(SOCK_DGRAM, {Ip(6, 1), kNodePort});
+    for (const Process& each : processes) {
+      const Address to{each.ip, IsBalancer(each) ? kNodePort : kPacketPort};
+      SendTo(socket, to, std::vector<std::uint8_t>(1400, 0x91));
+      SendTo(socket, to, std::vector<std::uint8_t>(1400, 0xdd));
+      // A report request with a time of 2^64 - 1 ms.
+      std::vector<std::uint8_t> request = {0x93, 7, 0xc4, 1, 'a', 0xcf};
+      request.insert(request.end(), 8, 0xff);
+      SendTo(socket, to, request);
+    }
+    close(socket);
+  }
+
+  // Another target at the address of one that has ended; its machine is another
+  // one, too.
+  bool Reuse(std::size_t target, const std::string& service) {
+    const Target& before = *targets[target];
+    auto next = std::make_unique<Target>(before.address.ip, service,
+                                         before.zone, &record);
+    if (!next->IsBound()) {
+      return false;
+    }
+    targets[target] = std::move(next);
+    for (Process& each : processes) {
+      for (std::string& word : each.command) {
+        if (each.ip == targets[target]->address.ip &&
+            word.starts_with("--service=")) {
+          word = "--service=" + service;
+        }
+      }
+    }
+    return true;
+  }
+
   void Signal(Process* process, int signal) {
     if (process->pid > 0) {
       kill(process->pid, signal);
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -36,6 +36,7 @@
           Open(SOCK_STREAM, {ip, static_cast<std::uint16_t>(first_port + i)}));
     }
     m_rejects.resize(readers);
+    m_silent.resize(readers);
   }
 
   bool IsBound() const {
@@ -60,6 +61,25 @@
     m_rejects[reader] = rejects;
   }
 
+  // Whether the reader's requests, also those under way, are never answered.
+  void SetSilent(std::size_t reader, bool silent) {
+    m_silent[reader] = silent;
+    for (Connection& each : m_connections) {
+      each.dead = each.dead || (silent && each.reader == reader);
+    }
+  }
+
+  // The readers that watched the prefix in the last 1.5 s.
+  std::vector<std::size_t> Watchers(const std::string& prefix) const {
+    std::vector<std::size_t> watchers;
+    for (const auto& [key, at] : m_watched) {
+      if (key.first == prefix && Now() - at < kWatchedMs) {
+        watchers.push_back(key.second);
+      }
+    }
+    return watchers;
+  }
+
   void Run() {
     const double now = Now();
     while (!m_history.empty() && now - m_history.front().at > kHistoryMs) {
@@ -71,7 +91,7 @@
                                  SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) {
         const int on = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        m_connections.push_back({fd, i, "", "", false, "", 0, 0});
+        m_connections.push_back({fd, i, "", "", false, "", 0, 0, m_silent[i]});
       }
     }
     for (Connection& each : m_connections) {
@@ -83,6 +103,7 @@
 
  private:
   static constexpr double kHistoryMs = 20000;
+  static constexpr double kWatchedMs = 1500;
 
   struct Item {
     std::string key;
@@ -101,6 +122,7 @@
     std::string prefix;
     std::uint64_t after;
     double until;
+    bool dead;
   };
 
   void Change(const Item& change) {
@@ -171,6 +193,7 @@
       }
       from->prefix = prefix;
       from->watches = true;
+      m_watched[{prefix, from->reader}] = now;
       from->until =
           now + std::strtod(Parameter(line, "wait_ms").c_str(), nullptr);
     } else {
@@ -189,6 +212,9 @@
       each->fd = -1;
       return;
     }
+    if (each->dead) {
+      return;
+    }
     const auto end = each->in.find("\r\n\r\n");
     if (end != std::string::npos && !each->watches) {
       const std::string line = each->in.substr(0, each->in.find("\r\n"));
@@ -221,6 +247,8 @@
 
   std::vector<int> m_listeners;
   std::vector<bool> m_rejects;
+  std::vector<bool> m_silent;
+  std::map<std::pair<std::string, std::size_t>, double> m_watched;
   std::vector<Connection> m_connections;
   std::map<std::string, Item> m_items;
   std::vector<Item> m_history;
--- a/tests/libflow/agentfailuretest.cpp
+++ b/tests/libflow/agentfailuretest.cpp
@@ -11,6 +11,8 @@
 /// Time within which a lost agent must be detected and flows without an owner
 /// must be reset.
 constexpr milliseconds kResetDeadline{450};
+/// Time that an agent stays after it was told to stop.
+constexpr milliseconds kStopNoticeTime{150};
 
 }  // namespace
 
@@ -126,6 +128,54 @@
   CHECK(site.resets.empty());
 }
 
+// Guards against resets of open flows (FLOW) of an agent that is restarted as
+// planned, by a balancer that asks it for reports only then.
+TEST_CASE("balancers that want no reports learn that an agent stops") {
+  constexpr std::size_t kBalancer = 3;
+  FlowSite site(6, 120, 3, {3, 3});
+  const AgentTable& table = site.balancers[kBalancer]->router->agents();
+  // A flow that another balancer of the zone opened at an agent outside the
+  // subset of this one.
+  FlowTuple tuple;
+  FlowSite::Agent* owner = nullptr;
+  for (std::uint32_t caller = 1; owner == nullptr; ++caller) {
+    tuple = FlowSite::Tuple(caller);
+    site.Open(0, tuple);
+    site.Run(milliseconds(200));
+    if (!table.Find(site.OwnerOf(tuple)->address)->reports_wanted()) {
+      owner = site.OwnerOf(tuple);
+    }
+  }
+  site.SendRequest(kBalancer, tuple, 2);
+  site.Run(std::chrono::seconds(12));
+  REQUIRE_FALSE(table.Find(owner->address)->reports_wanted());
+  owner->tracker->BeginStop(site.clock.Now());
+  SUBCASE("the first notice arrives") {
+    site.DeliverAll();
+  }
+  SUBCASE("the first notice is lost") {
+    site.is_lost = [&](const SocketAddress& from, const SocketAddress&) {
+      return from == owner->address;
+    };
+    site.DeliverAll();
+    site.is_lost = nullptr;
+    site.Run(kStopNoticeTime);
+  }
+  owner->running = false;
+  site.SendRequest(kBalancer, tuple, 3);
+  site.Run(milliseconds(1500));
+  for (std::size_t i = 0; i < site.agents.size(); ++i) {
+    if (site.agents[i].get() == owner) {
+      site.StartAgent(i);
+    }
+  }
+  site.Run(milliseconds(300));
+  site.SendRequest(kBalancer, tuple, 3);
+  site.Run(milliseconds(200));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) == 3);
+}
+
 TEST_CASE("a flow that its upstream has lost is reset at its next packet") {
   FlowSite site(1, 3);
   const FlowTuple tuple = FlowSite::Tuple(1);
--- a/tests/libflow/flowownertest.cpp
+++ b/tests/libflow/flowownertest.cpp
@@ -72,6 +72,110 @@
   CHECK(site.AnswersTo(tuple) >= 2);
 }
 
+// Guards against a reset of open flows (FLOW) at a service that the route no
+// longer names.
+TEST_CASE("a flow stays with its upstream when its route names another one") {
+  FlowSite site(2, 4);
+  for (const std::size_t index : {2U, 3U}) {
+    site.agents[index]->entry.service = "ledger";
+    site.BumpRevision(site.agents[index].get());
+    site.StartAgent(index);
+  }
+  site.view.services["ledger"] = {};
+  site.view.routes[FlowSite::kRoute].services = {{"ledger", 1}};
+  site.Publish();
+  site.Run(milliseconds(1500));
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  REQUIRE(site.OwnerOf(tuple) != nullptr);
+  REQUIRE(site.OwnerOf(tuple)->entry.service == "ledger");
+  SUBCASE("the service gets no more flows") {
+    site.view.routes[FlowSite::kRoute].services = {{"counter", 1},
+                                                   {"ledger", 0}};
+  }
+  SUBCASE("the route names another service") {
+    site.view.routes[FlowSite::kRoute].services = {{"counter", 1}};
+  }
+  site.view.configuration_version = 2;
+  site.StartBalancer(1);
+  site.Publish();
+  site.Run(milliseconds(2000));
+  // The balancer has to search for the owner.
+  site.is_lost = [&](const SocketAddress& from, const SocketAddress& to) {
+    return from == site.OwnerOf(tuple)->address &&
+           to == site.balancers[1]->address;
+  };
+  site.StartBalancer(1);
+  site.Publish();
+  site.Run(milliseconds(1500));
+  site.is_lost = nullptr;
+  site.SendRequest(1, tuple, 2);
+  site.Run(milliseconds(100));
+  site.SendRequest(1, tuple, 3);
+  site.Run(milliseconds(400));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) >= 2);
+}
+
+// Guards against a reset of the open flows of a live upstream (FLOW) after an
+// entry of another service for its address.
+TEST_CASE("an entry of another service at an address resets no open flow") {
+  FlowSite site(2, 4);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(200));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  REQUIRE(owner != nullptr);
+  owner->entry.service = "ledger";
+  site.view.services["ledger"] = {};
+  site.BumpRevision(owner);
+  site.Publish();
+  std::size_t balancer = 0;
+  SUBCASE("at a balancer that knows the owner") {}
+  SUBCASE("at a balancer that searches for the owner") {
+    site.AddBalancer();
+    site.Publish();
+    site.Run(milliseconds(2000));
+    balancer = 2;
+  }
+  site.SendRequest(balancer, tuple, 2);
+  site.Run(milliseconds(100));
+  site.SendRequest(balancer, tuple, 2);
+  site.Run(milliseconds(200));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) == 2);
+}
+
+// Guards against a reset of open flows (FLOW) of an upstream that left the
+// store, by a balancer that restarted since. The upstream's agent reports to
+// neither balancer.
+TEST_CASE(
+    "a restarted balancer finds flows of an upstream that has left a large "
+    "service") {
+  FlowSite site(4, 60, 3, {2, 2});
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(200));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  REQUIRE(owner != nullptr);
+  owner->entry.draining = true;
+  site.BumpRevision(owner);
+  site.Publish();
+  // No balancer needs the reports of a draining upstream after a while.
+  site.Run(std::chrono::seconds(12));
+  owner->listed = false;
+  site.Publish();
+  for (const std::size_t restarted : {1U, 0U}) {
+    site.StartBalancer(restarted);
+    site.Publish();
+    site.Run(milliseconds(1500));
+  }
+  site.SendRequest(0, tuple, 2);
+  site.Run(milliseconds(200));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) == 2);
+}
+
 TEST_CASE("a flow that no upstream holds is reset") {
   FlowSite site(1, 4);
   const FlowTuple tuple = FlowSite::Tuple(1);
--- a/tests/libflow/viewtest.cpp
+++ b/tests/libflow/viewtest.cpp
@@ -70,6 +70,65 @@
   CHECK(owner->upstream->flows.empty());
 }
 
+// Guards against a SYN that runs at a service to which no configuration sends
+// it (ROUTE), because the address of its agent is used by that service now.
+TEST_CASE("a copy of a SYN does not reach the service that reuses an address") {
+  FlowSite site(1, 1);
+  FlowSite::Agent* agent = site.agents[0].get();
+  agent->running = false;
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.SendSyn(0, tuple);
+  agent->entry.service = "ledger";
+  site.view.services["ledger"] = {};
+  site.BumpRevision(agent);
+  site.StartAgent(0);
+  site.Publish();
+  SUBCASE("before another placement is due") {
+    site.SendSyn(0, tuple);
+  }
+  SUBCASE("when no other agent is left") {
+    site.Run(milliseconds(200));
+    site.SendSyn(0, tuple);
+    site.Run(milliseconds(400));
+    site.SendSyn(0, tuple);
+  }
+  CHECK(agent->upstream->opened.empty());
+}
+
+// Guards against a reset of an open flow (FLOW) by a balancer that has not got
+// the configuration with the flow's route yet.
+TEST_CASE("an open flow of a route that a balancer does not know is kept") {
+  constexpr SocketAddress kNewRoute{0xC6120001, 8443};
+  FlowSite site(2, 2);
+  RouteSettings route = site.view.routes.at(FlowSite::kRoute);
+  route.address = kNewRoute;
+  site.view.routes[kNewRoute] = route;
+  site.view.configuration_version = 2;
+  site.balancers[0]->running = false;
+  site.Publish();
+  site.balancers[0]->running = true;
+  const FlowTuple tuple = FlowSite::Tuple(1, kNewRoute);
+  site.Open(1, tuple);
+  site.SendRequest(0, tuple, 2);
+  CHECK(site.resets.empty());
+  site.Publish();
+  site.SendRequest(0, tuple, 2);
+  site.Run(milliseconds(100));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) == 2);
+}
+
+TEST_CASE("a flow of a route that a configuration drops is reset") {
+  FlowSite site(2, 2);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.view.routes.erase(FlowSite::kRoute);
+  site.view.configuration_version = 2;
+  site.Publish();
+  site.SendRequest(1, tuple, 2);
+  CHECK(site.ResetsOf(tuple) == 1);
+}
+
 TEST_CASE("a flow to a route that does not exist is reset at once") {
   FlowSite site(1, 2);
   const FlowTuple tuple = FlowSite::Tuple(1, {0xC6120001, 9999});
--- a/tests/libsite/changerelaytest.cpp
+++ b/tests/libsite/changerelaytest.cpp
@@ -56,7 +56,9 @@
     for (Duration passed{}; passed < time; passed += kStep) {
       clock.Advance(kStep);
       for (auto& [index, process] : processes) {
-        Tick(index, process.get());
+        if (!paused.contains(index)) {
+          Tick(index, process.get());
+        }
       }
     }
   }
@@ -98,8 +100,12 @@
   std::map<std::size_t, std::size_t> sent;
   /// Processes whose reads the store refuses.
   std::set<std::size_t> refused;
+  /// Processes whose reads the store does not answer.
+  std::set<std::size_t> cut_off;
   /// Processes that receive no messages from other processes.
   std::set<std::size_t> inbound_blocked;
+  /// Processes that are paused.
+  std::set<std::size_t> paused;
 
  private:
   static SocketAddress AddressOf(std::size_t index) {
@@ -132,7 +138,13 @@
     const StoreFollower::Read read = *process->pending_read;
     const bool watch = read.kind == StoreFollower::Read::Kind::kWatch;
     StoreAnswer answer;
-    if (refused.contains(index)) {
+    if (cut_off.contains(index)) {
+      if (clock.Now() <
+          process->pending_until + StoreFollower::kAnswerTimeout) {
+        return;
+      }
+      answer.problem = "timed out";
+    } else if (refused.contains(index)) {
       answer.problem = "refused";
     } else {
       answer.outcome = StoreAnswer::Outcome::kItems;
@@ -168,7 +180,7 @@
     for (const SocketAddress& peer : receivers) {
       const std::size_t to = peer.ipv4 - 1;
       ++sent[from];
-      if (to != from && processes.contains(to) &&
+      if (to != from && processes.contains(to) && !paused.contains(to) &&
           !inbound_blocked.contains(to)) {
         processes[to]->relay.OnPeerMessage(AddressOf(from), changes,
                                            clock.Now());
@@ -265,6 +277,58 @@
   }
 }
 
+// Guards against a confirmed change that is not in force in time (CONFIG),
+// because both readers are cut off from the store or paused just before it.
+TEST_CASE("a large change arrives within 3 s although both readers fail") {
+  constexpr milliseconds kDeadline{3000};
+  // A change that fits into no message.
+  const std::string value = "11" + std::string(5000, ' ');
+  for (const std::size_t size : {5U, 7U, 25U}) {
+    for (int phase = 0; phase < 12; ++phase) {
+      for (const bool pause : {false, true}) {
+        Fleet fleet(size);
+        const auto readers = fleet.Readers(milliseconds(2000));
+        REQUIRE(readers.size() == ChangeRelay::kReaderCount);
+        fleet.Run(milliseconds(100 * phase));
+        (pause ? fleet.paused : fleet.cut_off) = readers;
+        fleet.Run(milliseconds(50));
+        fleet.Put("up/1", value);
+        fleet.Run(kDeadline);
+        CAPTURE(size);
+        CAPTURE(phase);
+        CAPTURE(pause);
+        for (const auto& [index, process] : fleet.processes) {
+          if (!readers.contains(index)) {
+            CHECK(fleet.HasUpstream(index, 11));
+          }
+        }
+      }
+    }
+  }
+}
+
+// Guards against a missed change that is forgotten (CONFIG) when a reader that
+// lags sends its heartbeat.
+TEST_CASE("a reader that lags does not hide a change that another has") {
+  Fleet fleet(1);
+  StoreFollower& follower = fleet.processes[0]->follower;
+  const TimePoint now = fleet.clock.Now();
+  follower.SetPassive(true, now);
+  const auto heartbeat = [](std::uint64_t after, std::uint64_t as_of) {
+    SharedChanges message;
+    message.prefix = "up/";
+    message.reads_store = true;
+    message.after = Revision{after};
+    message.as_of = Revision{as_of};
+    return message;
+  };
+  const std::uint64_t position =
+      static_cast<std::uint64_t>(follower.position());
+  follower.OnSharedChanges(heartbeat(position + 10, position + 10), now);
+  follower.OnSharedChanges(heartbeat(position, position + 5), now);
+  CHECK(follower.OnTick(now).kind == StoreFollower::Read::Kind::kWatch);
+}
+
 TEST_CASE("a process that receives no messages reads the store itself") {
   Fleet fleet(5);
   fleet.inbound_blocked = {4};
