Log what a balancer knew of an agent that it takes for silent

A peer_silent or agent_silent line could not tell an agent that stopped reporting from one that never answered a request for reports, nor one that was restarting. The lines now have the agent's phase and for how long reports have been requested from it; the age of the last report was there. The metric store_state_age_seconds shows for each part of the store when its state was last confirmed, which separates a reader that is cut off from a change that was lost on the way.

--- a/src/libbase/logfield.h
+++ b/src/libbase/logfield.h
@@ -17,6 +17,7 @@
   kReason,
   kRemedy,
   kReportAgeMs,
+  kRequestedMs,
   kRevision,
   kRunning,
   kService,
--- a/src/libbase/logger.cpp
+++ b/src/libbase/logger.cpp
@@ -60,6 +60,8 @@
       return "remedy";
     case LogKey::kReportAgeMs:
       return "report_age_ms";
+    case LogKey::kRequestedMs:
+      return "requested_ms";
     case LogKey::kRevision:
       return "revision";
     case LogKey::kRunning:
--- a/src/libflow/flowdecision.h
+++ b/src/libflow/flowdecision.h
@@ -62,6 +62,10 @@
   /// of that report.
   std::uint32_t running = 0;
   std::chrono::milliseconds report_age{0};
+  /// Phase of the peer, an agent, according to that report; string literal.
+  const char* peer_phase = "";
+  /// For how long reports have been requested from the peer; 0 if they are not.
+  std::chrono::milliseconds requested_for{0};
   /// Time that the packet was queued.
   std::chrono::milliseconds waited{0};
   /// Version of the configuration that was in effect.
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -512,6 +512,11 @@
     decision.service = agent->service();
     decision.running = agent->running();
     decision.report_age = agent->report_age(now);
+    decision.peer_phase = ToString(agent->phase());
+    if (agent->reports_wanted()) {
+      decision.requested_for = std::chrono::duration_cast<milliseconds>(
+          now - agent->reports_wanted_since());
+    }
   }
   m_output->Report(decision);
 }
--- a/src/libnet/flowtelemetry.cpp
+++ b/src/libnet/flowtelemetry.cpp
@@ -45,6 +45,9 @@
        {LogKey::kService, std::string(decision.service)},
        {LogKey::kRunning, std::uint64_t{decision.running}},
        {LogKey::kReportAgeMs, age},
+       {LogKey::kState, std::string(decision.peer_phase)},
+       {LogKey::kRequestedMs,
+        static_cast<std::uint64_t>(decision.requested_for.count())},
        {LogKey::kWaitedMs, static_cast<std::uint64_t>(decision.waited.count())},
        {LogKey::kVersion, decision.configuration_version}});
 }
--- a/src/libnet/storereader.cpp
+++ b/src/libnet/storereader.cpp
@@ -224,6 +224,16 @@
                    static_cast<double>(m_failures));
   metrics->Gauge("store_reached", "1 while the store answers",
                  m_reached ? 1 : 0);
+  const TimePoint now = m_clock.Now();
+  for (const auto& part : m_parts) {
+    metrics->Gauge(
+        "store_state_age_seconds",
+        "Time since the store, or a process that reads it, last "
+        "confirmed the state",
+        std::chrono::duration<double>(now - part->follower.last_contact())
+            .count(),
+        {{"part", part->follower.prefix()}});
+  }
   const std::shared_ptr<const SiteView> view = m_state.View();
   metrics->Gauge("configuration_version", "Version of the configuration",
                  static_cast<double>(view->configuration_version));
