Tell all balancers that an agent stops, not only those with a due report

Callers saw open flows reset while the node beside their upstream was restarted as planned (FLOW, services of more than 20 upstreams).

Cause: an agent that stops sent its phase with the regular reports, which only go to balancers that want them. A balancer that forwards a packet to such an agent afterwards asks for reports, gets none for 500 ms, takes the agent for lost and resets its flows. The class of fault: a message that all have to know travels with one that only some want.

A change of the phase now goes to all balancers that the agent knows, and is repeated for 150 ms, since one datagram may be lost; the process stays that long. Balancers ask an agent that stops once a second whether it is back.

The test failed before (two subcases, resets of the flow) and passes.

--- a/src/flowagent/flowagentprocess.cpp
+++ b/src/flowagent/flowagentprocess.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-/// Time for the stop notice to leave the instance.
-constexpr std::chrono::milliseconds kStopNoticeTime{20};
 /// Time-out of the check whether the upstream runs; a refusal from the same
 /// instance takes less than a millisecond.
 constexpr std::chrono::milliseconds kUpstreamCheckTimeout{100};
@@ -96,9 +94,9 @@
     }
     m_worker->BeginStop();
   });
-  CallAfter(&m_tasks, kStopNoticeTime, [this] {
+  CallAfter(&m_tasks, FlowTracker::kNoticeTime, [this] {
     m_logger->Write(LogLevel::kInfo, "stopped",
-                    "stop notice sent to the balancers");
+                    "stop notices sent to the balancers");
     QCoreApplication::quit();
   });
 }
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -474,7 +474,8 @@
   }
   m_phase = phase;
   Report(Kind::kPeerPhase, {}, {}, ToString(phase));
-  SendStatus(now);
+  m_notices_until = now + kNoticeTime;
+  m_reporter.SendToAll(MakeStatus(now), m_balancers);
 }
 
 void FlowTracker::OnTick(TimePoint now) {
@@ -487,6 +488,9 @@
   if (m_reporter.IsDue(now)) {
     SendStatus(now);
   }
+  if (now < m_notices_until) {
+    m_reporter.SendToAll(MakeStatus(now), m_balancers);
+  }
 }
 
 void FlowTracker::Sweep(TimePoint now) {
--- a/src/libflow/flowtracker.h
+++ b/src/libflow/flowtracker.h
@@ -30,6 +30,10 @@
 /// OnTick() every 50 ms.
 class FlowTracker {
  public:
+  /// A change of the phase is repeated to all balancers for this long, in case
+  /// a notice is lost. An agent that stops has to run until then.
+  static constexpr std::chrono::milliseconds kNoticeTime{150};
+
   struct Settings {
     Incarnation incarnation{};
     std::string service;
@@ -62,8 +66,8 @@
   void OnUpstreamDown(TimePoint now);
   void OnUpstreamUp(TimePoint now);
 
-  /// Announces that the agent is about to stop while its upstream continues:
-  /// balancers keep the flows and place no new ones.
+  /// Announces to all known balancers that the agent is about to stop while its
+  /// upstream continues: they keep the flows and place no new ones.
   void BeginStop(TimePoint now);
 
   void OnTick(TimePoint now);
@@ -165,6 +169,7 @@
   const PacketCodec& m_codec;
   FlowOutput* m_output;
   AgentPhase m_phase = AgentPhase::kServing;
+  TimePoint m_notices_until{};
   UpstreamFlowTable m_flows;
   BalancerTable m_balancers;
   StatusReporter m_reporter;
--- a/src/libflow/heartbeatscheduler.cpp
+++ b/src/libflow/heartbeatscheduler.cpp
@@ -51,6 +51,9 @@
 
 Duration HeartbeatScheduler::IntervalFor(const AgentPeer& agent,
                                          std::size_t agent_count) {
+  if (!agent.reports_wanted() && agent.phase() == AgentPhase::kStopping) {
+    return kStoppingInterval;
+  }
   if (!agent.reports_wanted()) {
     return std::max<Duration>(
         kIdleInterval, std::chrono::seconds(agent_count / kMaxIdlePerSecond));
--- a/src/libflow/heartbeatscheduler.h
+++ b/src/libflow/heartbeatscheduler.h
@@ -27,7 +27,10 @@
   /// The same for an agent whose reports are wanted but do not arrive, so that
   /// it is found soon after it has restarted.
   static constexpr std::chrono::milliseconds kProbeInterval{50};
-  /// The same for agents from which no reports are wanted, unless
+  /// The same for an agent that is about to stop and from which no reports are
+  /// wanted, so that it gets new flows soon after it has restarted.
+  static constexpr std::chrono::milliseconds kStoppingInterval{1000};
+  /// The same for other agents from which no reports are wanted, unless
   /// kMaxIdlePerSecond requires a longer one.
   static constexpr std::chrono::milliseconds kIdleInterval{5000};
   static constexpr std::size_t kMaxIdlePerSecond = 20;
--- a/src/libflow/statusreporter.cpp
+++ b/src/libflow/statusreporter.cpp
@@ -38,12 +38,8 @@
   m_last = now;
   m_next = now + AgentFailureDetector::kReportInterval;
   const std::vector<OpenedFlow> opened = std::exchange(m_opened, {});
-  std::vector<SocketAddress> receivers = balancers->Addresses();
-  if (receivers.empty()) {
-    receivers = m_seeds;
-  }
   std::vector<ReportedFlow> flows;
-  for (const SocketAddress& balancer : receivers) {
+  for (const SocketAddress& balancer : Receivers(*balancers)) {
     flows.clear();
     for (const OpenedFlow& each : opened) {
       if (balancers->CanReceiveFlowsOf(balancer, each.balancer)) {
@@ -56,6 +52,19 @@
   }
 }
 
+void StatusReporter::SendToAll(const AgentStatus& status,
+                               const BalancerTable& balancers) {
+  for (const SocketAddress& balancer : Receivers(balancers)) {
+    SendTo(balancer, status, {}, balancers);
+  }
+}
+
+std::vector<SocketAddress> StatusReporter::Receivers(
+    const BalancerTable& balancers) const {
+  std::vector<SocketAddress> receivers = balancers.Addresses();
+  return receivers.empty() ? m_seeds : receivers;
+}
+
 void StatusReporter::SendTo(const SocketAddress& balancer,
                             AgentStatus status,
                             const std::vector<ReportedFlow>& flows,
--- a/src/libflow/statusreporter.h
+++ b/src/libflow/statusreporter.h
@@ -36,6 +36,10 @@
   /// Sends the reports. \p status has no flows.
   void Send(const AgentStatus& status, BalancerTable* balancers, TimePoint now);
 
+  /// Sends a report without flows at once to all balancers, also to those that
+  /// want no regular ones.
+  void SendToAll(const AgentStatus& status, const BalancerTable& balancers);
+
   /// Sends a report with \p flows to one balancer at once.
   void SendTo(const SocketAddress& balancer,
               AgentStatus status,
@@ -43,6 +47,9 @@
               const BalancerTable& balancers);
 
  private:
+  /// Returns all known balancers, or the seeds if there are none.
+  std::vector<SocketAddress> Receivers(const BalancerTable& balancers) const;
+
   struct OpenedFlow {
     ReportedFlow flow;
     SocketAddress balancer;
--- a/tests/libflow/agentfailuretest.cpp
+++ b/tests/libflow/agentfailuretest.cpp
@@ -11,8 +11,6 @@
 /// Time within which a lost agent must be detected and flows without an owner
 /// must be reset.
 constexpr milliseconds kResetDeadline{450};
-/// Time that an agent stays after it was told to stop.
-constexpr milliseconds kStopNoticeTime{150};
 
 }  // namespace
 
@@ -159,7 +157,7 @@
     };
     site.DeliverAll();
     site.is_lost = nullptr;
-    site.Run(kStopNoticeTime);
+    site.Run(FlowTracker::kNoticeTime);
   }
   owner->running = false;
   site.SendRequest(kBalancer, tuple, 3);
