Report to restarted balancers from agents that the store no longer lists

Cause: an agent whose entry is gone can only learn of a restarted balancer from the others. Those that want no reports from it sent it heartbeats every 5 s, later than the second after which a balancer takes a flow without an owner for lost, and the agent ignored the announcement of an address that it knew. Of more than eight balancers the same eight were announced.

While balancers have announcements, agents that are not listed get a heartbeat every 250 ms, which names all new balancers in turn; an agent reports its flows to an announced balancer once a second, also to a known one. An agent that was just removed from the view is kept for a minute.

--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -33,7 +33,12 @@
 
 }  // namespace
 
-void AgentPeer::OnView(const UpstreamEntry* entry, const SiteView& view) {
+void AgentPeer::OnView(const UpstreamEntry* entry,
+                       const SiteView& view,
+                       TimePoint now) {
+  if (m_listed) {
+    m_last_listed = now;
+  }
   m_listed = entry != nullptr;
   if (entry == nullptr) {
     return;
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -25,7 +25,7 @@
 
   /// Applies the upstream's entry in \p view; \p entry is null if the view no
   /// longer has one.
-  void OnView(const UpstreamEntry* entry, const SiteView& view);
+  void OnView(const UpstreamEntry* entry, const SiteView& view, TimePoint now);
 
   /// Whether \p status was sent before the last one that was applied, in the
   /// same run of the agent or in the one before.
@@ -103,6 +103,8 @@
   std::optional<TimePoint> last_report() const { return m_last_report; }
   std::chrono::milliseconds report_age(TimePoint now) const;
   bool listed() const { return m_listed; }
+  /// When the view last listed the agent; the epoch if it never did.
+  TimePoint last_listed() const { return m_last_listed; }
   bool silent() const { return m_silent; }
   void set_silent(bool silent) { m_silent = silent; }
 
@@ -113,6 +115,7 @@
 
   // From the site view.
   bool m_listed = false;
+  TimePoint m_last_listed{};
   bool m_draining = false;
   bool m_zone_out = false;
   bool m_missing = false;
--- a/src/libflow/agenttable.cpp
+++ b/src/libflow/agenttable.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 /// An upstream that the view does not list may still hold flows, which live up
-/// to a minute. Its agent is kept for this long after its last report.
+/// to a minute. Its agent is kept for this long after its last report, and
+/// after it was last listed.
 constexpr std::chrono::seconds kUnlistedAgentRetention{60};
 
 }  // namespace
@@ -15,7 +16,7 @@
 void AgentTable::Install(const SiteView& view, TimePoint now) {
   for (auto& [address, agent] : m_agents) {
     if (!view.upstreams.contains(address.ipv4)) {
-      agent->OnView(nullptr, view);
+      agent->OnView(nullptr, view, now);
     }
   }
   for (const auto& [ipv4, entry] : view.upstreams) {
@@ -24,7 +25,7 @@
     if (!agent) {
       agent = std::make_shared<AgentPeer>(address);
     }
-    agent->OnView(&entry, view);
+    agent->OnView(&entry, view, now);
   }
   Prune(now);
   RebuildServiceIndex();
@@ -51,7 +52,8 @@
     const AgentPeer& agent = *item.second;
     return !agent.listed() &&
            (!agent.last_report() ||
-            now - *agent.last_report() > kUnlistedAgentRetention);
+            now - std::max(*agent.last_report(), agent.last_listed()) >
+                kUnlistedAgentRetention);
   });
 }
 
--- a/src/libflow/agenttable.h
+++ b/src/libflow/agenttable.h
@@ -28,7 +28,7 @@
                         const AgentStatus& status,
                         TimePoint now);
 
-  /// Removes agents that the view does not list and that have not reported
+  /// Removes agents that the view has not listed and that have not reported
   /// within the last minute.
   void Prune(TimePoint now);
 
--- a/src/libflow/balancertable.cpp
+++ b/src/libflow/balancertable.cpp
@@ -23,6 +23,9 @@
 /// A balancer is announced as new for this long after it was first seen or has
 /// restarted.
 constexpr milliseconds kNewBalancerPeriod{3000};
+/// Several balancers announce the same one for seconds; it gets one report in
+/// this time.
+constexpr milliseconds kAnnouncementInterval{1000};
 
 }  // namespace
 
@@ -50,6 +53,17 @@
   return added;
 }
 
+bool BalancerTable::OnAnnounced(const SocketAddress& address, TimePoint now) {
+  OnIntroduced(address, now);
+  Balancer& balancer = m_balancers[address];
+  const bool is_due = balancer.last_announced == TimePoint{} ||
+                      now - balancer.last_announced >= kAnnouncementInterval;
+  if (is_due) {
+    balancer.last_announced = now;
+  }
+  return is_due;
+}
+
 void BalancerTable::OnReportRequest(const SocketAddress& address,
                                     const ReportRequest& request,
                                     TimePoint now) {
--- a/src/libflow/balancertable.h
+++ b/src/libflow/balancertable.h
@@ -22,10 +22,15 @@
                    const BalancerHeartbeat& heartbeat,
                    TimePoint now);
 
-  /// Adds a balancer that another balancer announced. Returns whether it is
-  /// new.
+  /// Adds a balancer that forwarded a packet. Returns whether it is new.
   bool OnIntroduced(const SocketAddress& address, TimePoint now);
 
+  /// Handles the announcement of a balancer that has started or restarted.
+  /// Returns whether it needs a report: it is new, or was not announced within
+  /// the last second. A known one has restarted and may not know this agent any
+  /// more.
+  bool OnAnnounced(const SocketAddress& address, TimePoint now);
+
   void OnReportRequest(const SocketAddress& address,
                        const ReportRequest& request,
                        TimePoint now);
@@ -70,6 +75,7 @@
     /// When the present incarnation was first seen.
     TimePoint first_seen;
     TimePoint last_heartbeat;
+    TimePoint last_announced{};
     TimePoint next_report{};
   };
 
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -405,7 +405,10 @@
     SendAllFlows(source, now);
   }
   for (const SocketAddress& address : heartbeat.new_balancers) {
-    Introduce(address, now);
+    if (m_balancers.OnAnnounced(address, now)) {
+      Report(Kind::kPeerBack, {}, address, "announced");
+      SendAllFlows(address, now);
+    }
   }
   OnUpstreamEntry(source, heartbeat, now);
 }
--- a/src/libflow/heartbeatscheduler.cpp
+++ b/src/libflow/heartbeatscheduler.cpp
@@ -30,6 +30,16 @@
   m_new_balancers[balancer] = now;
 }
 
+Duration HeartbeatScheduler::IntervalFor(const AgentPeer& agent,
+                                         std::size_t agent_count) const {
+  // Only other balancers can tell an agent that the store does not list of a
+  // new one.
+  if (!agent.listed() && !m_new_balancers.empty()) {
+    return std::min<Duration>(kInterval, RegularInterval(agent, agent_count));
+  }
+  return RegularInterval(agent, agent_count);
+}
+
 void HeartbeatScheduler::OnViewChanged(const AgentTable& agents,
                                        TimePoint now) {
   for (const auto& [address, agent] : agents.all()) {
@@ -49,8 +59,8 @@
   }
 }
 
-Duration HeartbeatScheduler::IntervalFor(const AgentPeer& agent,
-                                         std::size_t agent_count) {
+Duration HeartbeatScheduler::RegularInterval(const AgentPeer& agent,
+                                             std::size_t agent_count) {
   if (!agent.reports_wanted() && agent.phase() == AgentPhase::kStopping) {
     return kStoppingInterval;
   }
@@ -84,14 +94,21 @@
   });
 }
 
-std::vector<SocketAddress> HeartbeatScheduler::Introduced() const {
-  std::vector<SocketAddress> introduced;
-  for (const auto& [address, at] : m_new_balancers) {
-    if (introduced.size() < kMaxNewBalancers) {
-      introduced.push_back(address);
+std::vector<SocketAddress> HeartbeatScheduler::NextAnnounced(Sent* sent) const {
+  std::vector<SocketAddress> announced;
+  auto next = m_new_balancers.upper_bound(sent->last_announced);
+  while (announced.size() <
+         std::min(kMaxNewBalancers, m_new_balancers.size())) {
+    if (next == m_new_balancers.end()) {
+      next = m_new_balancers.begin();
     }
+    announced.push_back(next->first);
+    ++next;
+  }
+  if (!announced.empty()) {
+    sent->last_announced = announced.back();
   }
-  return introduced;
+  return announced;
 }
 
 void HeartbeatScheduler::OnAgentRestarted(const AgentPeer& agent,
@@ -113,7 +130,7 @@
     sent.requested_interval = interval;
   }
   sent.at = now;
-  sent.heartbeat = agent.MakeHeartbeat(m_self, Introduced(), now);
+  sent.heartbeat = agent.MakeHeartbeat(m_self, NextAnnounced(&sent), now);
   m_output->SendToNode(agent.address(), sent.heartbeat);
 }
 
--- a/src/libflow/heartbeatscheduler.h
+++ b/src/libflow/heartbeatscheduler.h
@@ -57,11 +57,18 @@
     TimePoint request_at{};
     std::chrono::milliseconds requested_interval{0};
     BalancerHeartbeat heartbeat;
+    /// Last balancer that was announced to the agent.
+    SocketAddress last_announced;
   };
 
   void Send(const AgentPeer& agent, TimePoint now);
-  static Duration IntervalFor(const AgentPeer& agent, std::size_t agent_count);
-  std::vector<SocketAddress> Introduced() const;
+  Duration IntervalFor(const AgentPeer& agent, std::size_t agent_count) const;
+  /// Returns the interval of heartbeats that announce no balancer.
+  static Duration RegularInterval(const AgentPeer& agent,
+                                  std::size_t agent_count);
+  /// Returns the balancers that the next heartbeat to an agent announces, at
+  /// most kMaxNewBalancers; all of them in turn.
+  std::vector<SocketAddress> NextAnnounced(Sent* sent) const;
 
   Incarnation m_self;
   std::string m_zone;
--- a/tests/libflow/flowownertest.cpp
+++ b/tests/libflow/flowownertest.cpp
@@ -152,7 +152,8 @@
 TEST_CASE(
     "a restarted balancer finds flows of an upstream that has left a large "
     "service") {
-  FlowSite site(4, 60, 3, {2, 2});
+  constexpr std::size_t kBalancers = 24;
+  FlowSite site(kBalancers, 60, 3, {2, 2});
   const FlowTuple tuple = FlowSite::Tuple(1);
   site.Open(0, tuple);
   site.Run(milliseconds(200));
@@ -165,12 +166,23 @@
   site.Run(std::chrono::seconds(12));
   owner->listed = false;
   site.Publish();
-  for (const std::size_t restarted : {1U, 0U}) {
-    site.StartBalancer(restarted);
+  std::size_t balancer = 0;
+  SUBCASE("restarted one after the other") {
+    for (const std::size_t restarted : {1U, 0U}) {
+      site.StartBalancer(restarted);
+      site.Publish();
+      site.Run(milliseconds(1500));
+    }
+  }
+  SUBCASE("restarted together with more than one message can name") {
+    for (balancer = 1; balancer < kBalancers - 1; ++balancer) {
+      site.StartBalancer(balancer);
+    }
+    balancer = kBalancers - 3;
     site.Publish();
     site.Run(milliseconds(1500));
   }
-  site.SendRequest(0, tuple, 2);
+  site.SendRequest(balancer, tuple, 2);
   site.Run(milliseconds(200));
   CHECK(site.resets.empty());
   CHECK(site.AnswersTo(tuple) == 2);
