Do not reset open flows of a route that a balancer does not know yet

Cause: a packet of an unknown flow on an unknown route was reset with no_route, as if no configuration could have the route. The class of fault: an older view takes what it does not know for what does not exist.

The site state now remembers for a minute which routes were dropped. Flows of these are reset as before; other packets on unknown routes are dropped, and the caller's copy finds the route. SYNs on unknown routes are still refused at once: nothing has opened.

The test failed before and passes.

--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -267,7 +267,10 @@
                              TimePoint now) {
   const auto route = m_view->routes.find(tuple.route);
   if (route == m_view->routes.end()) {
-    if (!packet.reset) {
+    // The flow may have opened at a balancer that has a newer configuration.
+    if (!m_view->dropped_routes.contains(tuple.route)) {
+      Report(Kind::kDropped, tuple, nullptr, "route_unknown", now);
+    } else if (!packet.reset) {
       Reset(tuple, packet.acknowledgment, "no_route", nullptr, now);
     }
     return;
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -103,6 +103,7 @@
                      TimePoint now);
   /// Handles a packet of an unknown flow: queries the agents of the route's
   /// services for the owner, those of the own zone first, where most flows are.
+  /// Resets the flow if the configuration has dropped its route.
   void StartSearch(const FlowPacket& packet,
                    const FlowTuple& tuple,
                    std::span<const std::uint8_t> datagram,
--- a/src/libsite/sitestate.cpp
+++ b/src/libsite/sitestate.cpp
@@ -74,7 +74,9 @@
 }
 
 bool SiteState::Expire(TimePoint now) {
-  bool changed = false;
+  bool changed = std::erase_if(m_dropped_routes, [&](const auto& item) {
+                   return now - item.second >= kDroppedRouteRetention;
+                 }) > 0;
   for (auto& [key, stored] : m_items) {
     auto* entry = std::get_if<UpstreamEntry>(&stored.record);
     if (entry != nullptr && entry->missing_since &&
@@ -122,7 +124,7 @@
                   std::to_string(configuration->version), revision});
       return false;
     }
-    m_configuration = std::move(*configuration);
+    Install(std::move(*configuration), now);
     m_listener({Kind::kConfiguration, std::to_string(m_configuration.version),
                 std::to_string(m_configuration.routes.size()) + " routes",
                 revision});
@@ -140,12 +142,25 @@
   return !std::holds_alternative<std::monostate>(stored->record);
 }
 
+void SiteState::Install(SiteConfiguration configuration, TimePoint now) {
+  for (const RouteSettings& route : m_configuration.routes) {
+    m_dropped_routes.try_emplace(route.address, now);
+  }
+  m_configuration = std::move(configuration);
+  for (const RouteSettings& route : m_configuration.routes) {
+    m_dropped_routes.erase(route.address);
+  }
+}
+
 std::shared_ptr<const SiteView> SiteState::View() const {
   auto view = std::make_shared<SiteView>();
   view->configuration_version = m_configuration.version;
   for (const RouteSettings& route : m_configuration.routes) {
     view->routes.emplace(route.address, route);
   }
+  for (const auto& [route, dropped_at] : m_dropped_routes) {
+    view->dropped_routes.insert(route);
+  }
   view->services = m_configuration.services;
   view->flow_idle_timeout = m_configuration.flow_idle_timeout;
   for (const auto& [key, stored] : m_items) {
--- a/src/libsite/sitestate.h
+++ b/src/libsite/sitestate.h
@@ -48,6 +48,9 @@
   /// unreachable register again within 2 s after it is reachable again.
   static constexpr std::chrono::milliseconds kMissingGracePeriod{2000};
 
+  /// Time for which a dropped route is remembered: flows live up to a minute.
+  static constexpr std::chrono::seconds kDroppedRouteRetention{60};
+
   /// \p decoder must outlive the state.
   SiteState(const RecordDecoder& decoder, Listener listener);
 
@@ -62,8 +65,9 @@
                Revision as_of,
                TimePoint now);
 
-  /// Removes upstreams whose entries have been missing for kMissingGracePeriod.
-  /// Returns whether the view changed.
+  /// Removes upstreams whose entries have been missing for kMissingGracePeriod,
+  /// and routes that were dropped kDroppedRouteRetention ago. Returns whether
+  /// the view changed.
   bool Expire(TimePoint now);
 
   std::shared_ptr<const SiteView> View() const;
@@ -87,10 +91,15 @@
            Revision revision,
            TimePoint now);
 
+  void Install(SiteConfiguration configuration, TimePoint now);
+
   const RecordDecoder& m_decoder;
   Listener m_listener;
   std::map<std::string, ItemState> m_items;
   SiteConfiguration m_configuration;
+  /// Routes that the current configuration no longer has, and when they were
+  /// dropped.
+  std::map<SocketAddress, TimePoint> m_dropped_routes;
 };
 
 }  // namespace fireflytrestle
--- a/src/libsite/siteview.h
+++ b/src/libsite/siteview.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "libsite/routesettings.h"
 #include "libsite/servicelimits.h"
@@ -25,6 +26,9 @@
   /// Version of the current configuration; 0 before the first one arrives.
   std::uint64_t configuration_version = 0;
   std::unordered_map<SocketAddress, RouteSettings, SocketAddressHash> routes;
+  /// Routes of earlier configurations that the current one does not have.
+  /// Another unknown route may be one that this process has yet to learn of.
+  std::unordered_set<SocketAddress, SocketAddressHash> dropped_routes;
   std::map<std::string, ServiceLimits> services;
   /// Upstreams by the IPv4 address of their instance. Of several entries with
   /// the same address, one that is not missing is preferred, then the one that
--- a/tests/libflow/viewtest.cpp
+++ b/tests/libflow/viewtest.cpp
@@ -123,6 +123,7 @@
   const FlowTuple tuple = FlowSite::Tuple(1);
   site.Open(0, tuple);
   site.view.routes.erase(FlowSite::kRoute);
+  site.view.dropped_routes.insert(FlowSite::kRoute);
   site.view.configuration_version = 2;
   site.Publish();
   site.SendRequest(1, tuple, 2);
--- a/tests/libsite/storefollowertest.cpp
+++ b/tests/libsite/storefollowertest.cpp
@@ -83,6 +83,28 @@
   CHECK(site.state.View()->configuration_version == 9);
 }
 
+TEST_CASE("the view names dropped routes for a minute, unless they are back") {
+  Site site;
+  const SocketAddress route{7, 0};
+  const auto install = [&](const std::string& value, std::uint64_t revision) {
+    site.AnswerNextRead(
+        Site::Answer({Site::Item("config", value, revision)}, revision));
+  };
+  install("3 7", 5);
+  CHECK(site.state.View()->dropped_routes.empty());
+  install("4", 6);
+  CHECK(site.state.View()->dropped_routes.contains(route));
+  SUBCASE("the route is added again") {
+    install("5 7", 7);
+    CHECK(site.state.View()->dropped_routes.empty());
+  }
+  SUBCASE("a minute later") {
+    site.clock.Advance(SiteState::kDroppedRouteRetention);
+    CHECK(site.state.Expire(site.clock.Now()));
+    CHECK(site.state.View()->dropped_routes.empty());
+  }
+}
+
 TEST_CASE("a listing older than the current view changes nothing") {
   Site site;
   site.AnswerNextRead(Site::Answer({Site::Item("zone/a", "", 5)}, 9));
--- a/tests/libsite/testdecoder.h
+++ b/tests/libsite/testdecoder.h
@@ -2,14 +2,16 @@
 #define FIREFLYTRESTLE_TESTS_LIBSITE_TESTDECODER_H_
 
 #include <boost/leaf/result.hpp>
+#include <sstream>
 #include <string>
 
 #include "libsite/recorddecoder.h"
 
 namespace fireflytrestle {
 
-/// \brief Decodes the items that the tests use: "config" with a version,
-/// "zone/NAME", and "up/NAME" with the number that is its IPv4 address.
+/// \brief Decodes the items that the tests use: "config" with a version and the
+/// IPv4 addresses of its routes, "zone/NAME", and "up/NAME" with the number
+/// that is its IPv4 address.
 class TestDecoder : public RecordDecoder {
  public:
   boost::leaf::result<SiteRecord> Decode(
@@ -17,7 +19,11 @@
       std::string_view value) const override {
     if (key == "config") {
       SiteConfiguration configuration;
-      configuration.version = std::stoul(std::string(value));
+      std::istringstream text{std::string(value)};
+      text >> configuration.version;
+      for (std::uint32_t route = 0; text >> route;) {
+        configuration.routes.emplace_back().address.ipv4 = route;
+      }
       return SiteRecord(configuration);
     }
     if (key.starts_with("zone/")) {
