Name the service of a flow, not the one that its agent has now

Cause: a packet named the service that the view gave the agent at that moment. A copy of a SYN that waited at an address whose upstream had ended was named after the service that uses the address now, and that service's agent took it. An entry of another writer for a live upstream's address made the agent refuse the upstream's own flows, and took it out of the searches. The class of fault: a decision that was made is derived anew from a view that has changed since.

A flow now keeps the service for which it was placed. Which service an agent belongs to is what the agent itself reports; an entry that says otherwise makes it no candidate for new flows.

--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -43,7 +43,7 @@
   if (entry == nullptr) {
     return;
   }
-  m_service = entry->service;
+  m_listed_service = entry->service;
   m_zone = entry->zone;
   m_draining = entry->draining;
   m_missing = entry->missing_since.has_value();
@@ -80,8 +80,8 @@
   m_oldest_flow = now - status.oldest_flow;
   m_placed_short = 0;
   m_placed_long = 0;
+  m_reported_service = status.service;
   if (!m_listed) {
-    m_service = status.service;
     m_zone = status.zone;
   }
 }
@@ -125,8 +125,8 @@
 }
 
 bool AgentPeer::IsCandidate() const {
-  return m_listed && !m_draining && !m_zone_out &&
-         m_phase == AgentPhase::kServing;
+  return m_listed && service() == m_listed_service && !m_draining &&
+         !m_zone_out && m_phase == AgentPhase::kServing;
 }
 
 bool AgentPeer::IsPreferred(TimePoint now) const {
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -59,8 +59,9 @@
   /// \p reason, the agent is not preferred for new flows.
   void OnSynReturned(ReturnReason reason, TimePoint now);
 
-  /// Whether the upstream may get new flows: the view lists it, it is not
-  /// draining, its zone is not out, and its agent's phase is serving.
+  /// Whether the upstream may get new flows: the view lists it with the service
+  /// that its agent reports, it is not draining, its zone is not out, and its
+  /// agent's phase is serving.
   bool IsCandidate() const;
   /// Whether the upstream is a candidate that is not missing from the store,
   /// and whose agent reports regularly and has not returned a SYN a moment ago.
@@ -94,7 +95,11 @@
       TimePoint now) const;
 
   const SocketAddress& address() const { return m_address; }
-  const std::string& service() const { return m_service; }
+  /// Service of the upstream as the agent reports it; before the first report
+  /// as the view has it.
+  const std::string& service() const {
+    return m_reported_service.empty() ? m_listed_service : m_reported_service;
+  }
   const std::string& zone() const { return m_zone; }
   /// Identifies the agent's current run; zero before its first report.
   Incarnation incarnation() const { return m_incarnation; }
@@ -110,10 +115,10 @@
 
  private:
   SocketAddress m_address;
-  std::string m_service;
   std::string m_zone;
 
   // From the site view.
+  std::string m_listed_service;
   bool m_listed = false;
   TimePoint m_last_listed{};
   bool m_draining = false;
@@ -129,6 +134,7 @@
   TimePoint m_last_forwarded{};
 
   // From the agent's reports and answers.
+  std::string m_reported_service;
   std::optional<TimePoint> m_last_report;
   /// Interval of reports according to the last one; 0 if none follow.
   std::chrono::milliseconds m_promised_interval{0};
--- a/src/libflow/agenttable.cpp
+++ b/src/libflow/agenttable.cpp
@@ -39,9 +39,10 @@
   if (added) {
     agent = std::make_shared<AgentPeer>(address);
   }
+  const std::string service = agent->service();
   agent->OnStatus(status, now);
   AgentPeerPtr found = agent;
-  if (added) {
+  if (added || service != found->service()) {
     RebuildServiceIndex();
   }
   return found;
--- a/src/libflow/flowownertable.h
+++ b/src/libflow/flowownertable.h
@@ -2,6 +2,7 @@
 #define FIREFLYTRESTLE_LIBFLOW_FLOWOWNERTABLE_H_
 
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -35,6 +36,9 @@
   /// must be close to it.
   std::uint32_t acknowledgment = 0;
   std::uint8_t placements = 0;
+  /// Service for which the flow was placed, or that of the agent that reported
+  /// it. The agent of a reused address belongs to another service.
+  std::string service;
   AgentPeerPtr owner;
   std::vector<AgentPeerPtr> pending_agents;
   /// The search waits for reports of the flow instead of querying agents.
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -178,6 +178,7 @@
   entry->state = State::kOpening;
   entry->placed = now;
   entry->owner = agent;
+  entry->service = *service;
   agent->OnFlowPlaced(entry->flow_class.long_lived);
   Deliver(*entry, datagram, now);
 }
@@ -488,7 +489,7 @@
   owner.OnForwarded(now);
   m_output->SendToNode(
       owner.address(),
-      DeliverMessage{owner.service(), false, entry.flow_class, datagram});
+      DeliverMessage{entry.service, false, entry.flow_class, datagram});
 }
 
 void FlowRouter::Reset(const FlowTuple& tuple,
@@ -661,6 +662,7 @@
   }
   return now - m_loss_detector.first_view() >= kFirstReportTimeout ||
          std::all_of(
+    entry->service = agent->service();
              m_agents.all().begin(), m_agents.all().end(),
              [](const auto& item) { return !!item.second->last_report(); });
 }
