Search for a flow's owner at the services of earlier configurations

Callers saw open flows reset (FLOW) when their route's weights changed or the route named another service, and their packets came through another balancer.

A configuration leaves open flows where they are.

A search has a last stage now, in which the agents of all other services are asked; a service of weight 0 belongs to its route.

--- a/src/libflow/flowownertable.h
+++ b/src/libflow/flowownertable.h
@@ -43,9 +43,11 @@
   std::vector<AgentPeerPtr> pending_agents;
   /// The search waits for reports of the flow instead of querying agents.
   bool is_deferred = false;
-  /// Agents that a search queries if no agent of the first stage holds the
-  /// flow.
-  std::vector<AgentPeerPtr> unqueried_agents;
+  /// Agents that a search queries in later stages if no agent queried so far
+  /// holds the flow; the next stage is the last element.
+  std::vector<std::vector<AgentPeerPtr>> later_stages;
+  /// When the present stage of the search began.
+  TimePoint stage_began{};
   /// The packet that these agents get, or the owner after a deferred search.
   std::vector<std::uint8_t> search_packet;
   /// Agents that returned the SYN.
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -23,13 +23,13 @@
 /// agent does not answer: callers repeat a SYN after 200 ms, an answer takes
 /// under 20 ms.
 constexpr milliseconds kSynAnswerTimeout{120};
-/// The second stage of a search begins after this time if the first one has not
+/// The next stage of a search begins after this time if the present one has not
 /// ended: an agent answers a query within milliseconds.
-constexpr milliseconds kFirstStageTimeout{30};
-/// Searches among fewer agents are cheap: they have one stage and are not
-/// deferred.
+constexpr milliseconds kStageTimeout{30};
+/// Searches among fewer agents of the route's services are cheap: these are all
+/// queried in the first stage, and the search is not deferred.
 constexpr std::size_t kMinStagedAgents = 40;
-constexpr std::ptrdiff_t kMinFirstStageAgents = 4;
+constexpr std::size_t kMinFirstStageAgents = 4;
 /// Time of a deferred search: agents report a flow that has just opened to the
 /// balancers of its zone within 100 ms.
 constexpr milliseconds kDeferTime{100};
@@ -246,7 +246,7 @@
   }
   if (entry->state == State::kSearching) {
     if (!TryEndSearch(tuple, entry, now)) {
-      if (QueryRemainingAgents(tuple, entry, now)) {
+      if (QueryNextStage(tuple, entry, now)) {
         QueryPendingAgents(tuple, *entry, datagram, now);
       }
     }
@@ -283,6 +283,7 @@
   }
   entry->state = State::kSearching;
   entry->placed = now;
+  entry->stage_began = now;
   if (m_agents.all().size() >= kMinStagedAgents &&
       m_loss_detector.ShouldDeferSearches(now) && !packet.reset) {
     entry->is_deferred = true;
@@ -305,23 +306,33 @@
     return;
   }
   m_loss_detector.OnSearch();
-  for (const WeightedService& each : route->second.services) {
-    const auto& agents = m_agents.ForService(each.service);
-    entry->pending_agents.insert(entry->pending_agents.end(), agents.begin(),
-                                 agents.end());
+  std::vector<AgentPeerPtr> other_zones;
+  std::vector<AgentPeerPtr> other_services;
+  for (const auto& [service, agents] : m_agents.by_service()) {
+    const bool of_route = std::any_of(
+        route->second.services.begin(), route->second.services.end(),
+        [&](const WeightedService& each) { return each.service == service; });
+    for (const AgentPeerPtr& agent : agents) {
+      const bool in_zone = agent->zone() == m_settings.zone;
+      auto& stage = !of_route ? other_services
+                    : in_zone ? entry->pending_agents
+                              : other_zones;
+      stage.push_back(agent);
+    }
   }
   auto& pending = entry->pending_agents;
-  const auto other_zones = std::stable_partition(
-      pending.begin(), pending.end(), [&](const AgentPeerPtr& agent) {
-        return agent->zone() == m_settings.zone;
-      });
-  if (pending.size() >= kMinStagedAgents &&
-      other_zones - pending.begin() >= kMinFirstStageAgents &&
-      other_zones != pending.end()) {
-    entry->unqueried_agents.assign(other_zones, pending.end());
-    pending.erase(other_zones, pending.end());
+  if (!other_services.empty()) {
+    entry->later_stages.push_back(std::move(other_services));
+  }
+  if (pending.size() + other_zones.size() >= kMinStagedAgents &&
+      pending.size() >= kMinFirstStageAgents && !other_zones.empty()) {
+    entry->later_stages.push_back(std::move(other_zones));
+  } else {
+    pending.insert(pending.end(), other_zones.begin(), other_zones.end());
+  }
+  if (!entry->later_stages.empty()) {
     entry->search_packet.assign(datagram.begin(), datagram.end());
-    m_first_stage_searches.push_back(tuple);
+    m_staged_searches.push_back(tuple);
   }
   Report(Kind::kSearched, tuple, nullptr, "owner_unknown", now);
   if (QueryPendingAgents(tuple, *entry, datagram, now)) {
@@ -359,24 +370,29 @@
     }
     entry->is_deferred = false;
     entry->placed = now;
+    entry->stage_began = now;
     const auto datagram = std::exchange(entry->search_packet, {});
     QueryAgents(*m_codec.Decode(datagram), tuple, entry, datagram, now);
   }
 }
 
-bool FlowRouter::QueryRemainingAgents(const FlowTuple& tuple,
-                                      FlowEntry* entry,
-                                      TimePoint now) {
-  if (entry->unqueried_agents.empty()) {
+bool FlowRouter::QueryNextStage(const FlowTuple& tuple,
+                                FlowEntry* entry,
+                                TimePoint now) {
+  if (entry->later_stages.empty()) {
     return true;
   }
   FlowEntry stage = *entry;
-  stage.pending_agents = std::exchange(entry->unqueried_agents, {});
+  stage.pending_agents = std::move(entry->later_stages.back());
+  entry->later_stages.pop_back();
+  if (entry->later_stages.empty()) {
+    entry->search_packet.clear();
+  }
+  entry->stage_began = now;
   entry->pending_agents.insert(entry->pending_agents.end(),
                                stage.pending_agents.begin(),
                                stage.pending_agents.end());
-  const auto packet = std::exchange(entry->search_packet, {});
-  if (QueryPendingAgents(tuple, stage, packet, now)) {
+  if (QueryPendingAgents(tuple, stage, stage.search_packet, now)) {
     return true;
   }
   AbandonSearch(tuple, entry->acknowledgment, now);
@@ -395,17 +411,16 @@
 }
 
 void FlowRouter::AdvanceSearches(TimePoint now) {
-  std::erase_if(m_first_stage_searches, [&](const FlowTuple& tuple) {
+  std::erase_if(m_staged_searches, [&](const FlowTuple& tuple) {
     FlowEntry* entry = m_flows.Find(tuple);
     if (entry == nullptr || entry->state != State::kSearching ||
-        entry->unqueried_agents.empty()) {
+        entry->later_stages.empty()) {
       return true;
     }
-    if (now - entry->placed < kFirstStageTimeout) {
+    if (now - entry->stage_began < kStageTimeout) {
       return false;
     }
-    QueryRemainingAgents(tuple, entry, now);
-    return true;
+    return !QueryNextStage(tuple, entry, now) || entry->later_stages.empty();
   });
 }
 
@@ -457,8 +472,8 @@
       pending.begin(), pending.end(), [&](const AgentPeerPtr& agent) {
         return is_lost(agent) || !agent->last_report();
       });
-  if (all_answered && !entry->unqueried_agents.empty()) {
-    return !QueryRemainingAgents(tuple, entry, now);
+  if (all_answered && !entry->later_stages.empty()) {
+    return !QueryNextStage(tuple, entry, now);
   }
   if (all_answered) {
     m_loss_detector.OnOrphanedFlow(tuple);
@@ -647,8 +662,9 @@
     }
     entry->state = State::kOpen;
     entry->owner = agent;
+    entry->service = agent->service();
     entry->pending_agents.clear();
-    entry->unqueried_agents.clear();
+    entry->later_stages.clear();
     const auto packet = std::exchange(entry->search_packet, {});
     if (std::exchange(entry->is_deferred, false)) {
       Deliver(*entry, packet, now);
@@ -662,7 +678,6 @@
   }
   return now - m_loss_detector.first_view() >= kFirstReportTimeout ||
          std::all_of(
-    entry->service = agent->service();
              m_agents.all().begin(), m_agents.all().end(),
              [](const auto& item) { return !!item.second->last_report(); });
 }
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -119,7 +119,9 @@
                           const FlowEntry& entry,
                           std::span<const std::uint8_t> datagram,
                           TimePoint now);
-  /// Queries the agents of the route's services, in one or two stages.
+  /// Queries the agents of the route's services, in a large service those of
+  /// the own zone first, and last all other agents: the flow may have opened
+  /// under a configuration in which the route had another service.
   void QueryAgents(const FlowPacket& packet,
                    const FlowTuple& tuple,
                    FlowEntry* entry,
@@ -128,15 +130,12 @@
   /// Ends the deferred searches that have waited long enough: the flow is lost,
   /// or agents are queried.
   void EndDeferredSearches(TimePoint now);
-  /// Begins the second stage of a search, if there is one: queries the
-  /// remaining agents. Returns false if the bandwidth limit does not allow it
-  /// and the flow was removed.
-  bool QueryRemainingAgents(const FlowTuple& tuple,
-                            FlowEntry* entry,
-                            TimePoint now);
-  /// Begins the second stage of the searches whose first one takes too long.
+  /// Begins the next stage of a search, if there is one. Returns false if the
+  /// bandwidth limit does not allow it and the flow was removed.
+  bool QueryNextStage(const FlowTuple& tuple, FlowEntry* entry, TimePoint now);
+  /// Begins the next stage of the searches whose present one takes too long.
   void AdvanceSearches(TimePoint now);
-  /// Ends a search that no agent is left to answer, or begins its second stage.
+  /// Ends a search that no agent is left to answer, or begins its next stage.
   /// Returns whether it ended and the flow was removed.
   bool TryEndSearch(const FlowTuple& tuple, FlowEntry* entry, TimePoint now);
   /// Forwards a packet to the agent that holds the flow or gets its SYN.
@@ -194,8 +193,8 @@
   bool m_can_route = false;
   RetryBudget m_retry_budget;
   TokenBucket m_search_bytes;
-  /// Searches in their first stage.
-  std::vector<FlowTuple> m_first_stage_searches;
+  /// Searches that have a further stage.
+  std::vector<FlowTuple> m_staged_searches;
   std::vector<FlowTuple> m_deferred_searches;
   TimePoint m_next_sweep;
 };
--- a/src/libsite/routesettings.h
+++ b/src/libsite/routesettings.h
@@ -12,6 +12,7 @@
 
 struct WeightedService {
   std::string service;
+  /// Share of the new flows; a service of weight 0 gets none.
   std::uint32_t weight = 1;
 
   bool operator==(const WeightedService&) const = default;
--- a/tests/platform/platformrecorddecodertest.cpp
+++ b/tests/platform/platformrecorddecodertest.cpp
@@ -79,6 +79,16 @@
   CHECK(configuration->flow_idle_timeout == milliseconds(15000));
 }
 
+TEST_CASE("a service of weight 0 belongs to the route") {
+  std::string changed = kConfiguration;
+  changed.replace(changed.find("90"), 2, "0");
+  const SiteRecord record = Decode("op/config", changed);
+  const auto* configuration = std::get_if<SiteConfiguration>(&record);
+  REQUIRE(configuration != nullptr);
+  CHECK(configuration->routes[1].services ==
+        std::vector<WeightedService>{{"huvo11a", 0}, {"wuno96b", 10}});
+}
+
 TEST_CASE("a zone that is taken out is decoded from its key alone") {
   CHECK(Decode("op/evacuate/bole", "anything") == SiteRecord(ZoneOut{"bole"}));
 }
