Use an upstream's entry only if it is whole and its service is configured

Cause: an entry was used although fields that every entry has were missing or of another type, and although no configuration names its service.

Version, seq and, where present, born have to be of their type now, and the view leaves out entries of services that the configuration does not have. Such entries are logged as item_unreadable.

--- a/src/libsite/sitestate.cpp
+++ b/src/libsite/sitestate.cpp
@@ -136,7 +136,15 @@
   if (auto* entry = std::get_if<UpstreamEntry>(&record)) {
     entry->revision = revision;
     entry->received_at = now;
-    m_listener({Kind::kUpstreamChanged, entry->id, Describe(*entry), revision});
+    if (HasNamedService(*entry)) {
+      m_listener(
+          {Kind::kUpstreamChanged, entry->id, Describe(*entry), revision});
+    } else {
+      m_listener(
+          {Kind::kUnreadable, key,
+           "no configuration names the service \"" + entry->service + "\"",
+           revision});
+    }
   }
   stored->record = std::move(record);
   return !std::holds_alternative<std::monostate>(stored->record);
@@ -152,6 +160,11 @@
   }
 }
 
+bool SiteState::HasNamedService(const UpstreamEntry& entry) const {
+  return !has_configuration() ||
+         m_configuration.services.contains(entry.service);
+}
+
 std::shared_ptr<const SiteView> SiteState::View() const {
   auto view = std::make_shared<SiteView>();
   view->configuration_version = m_configuration.version;
@@ -168,7 +181,7 @@
       view->zones_out.insert(zone->zone);
     }
     const auto* entry = std::get_if<UpstreamEntry>(&stored.record);
-    if (entry == nullptr) {
+    if (entry == nullptr || !HasNamedService(*entry)) {
       continue;
     }
     const auto [position, added] =
--- a/src/libsite/sitestate.h
+++ b/src/libsite/sitestate.h
@@ -93,6 +93,10 @@
 
   void Install(SiteConfiguration configuration, TimePoint now);
 
+  /// Whether the configuration has the entry's service. An entry of another one
+  /// names no upstream; before the first configuration every entry may do.
+  bool HasNamedService(const UpstreamEntry& entry) const;
+
   const RecordDecoder& m_decoder;
   Listener m_listener;
   std::map<std::string, ItemState> m_items;
--- a/tests/libsite/storefollowertest.cpp
+++ b/tests/libsite/storefollowertest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "libbase/manualclock.h"
 #include "libbase/seededrandom.h"
 #include "libsite/sitestate.h"
@@ -153,6 +155,19 @@
   CHECK(site.state.View()->upstreams.at(1).id == "new");
 }
 
+// Guards against a live upstream that an entry of another writer replaces in
+// the view (FLOW, DRAIN).
+TEST_CASE("an entry whose service no configuration names hides no other") {
+  Site site;
+  site.AnswerNextRead(
+      Site::Answer({Site::Item("config", "3", 1), Site::Item("up/own", "1", 2),
+                    Site::Item("up/other", "1 old-name", 3)},
+                   3));
+  CHECK(site.state.View()->upstreams.at(1).id == "own");
+  CHECK(std::count(site.changes.begin(), site.changes.end(),
+                   SiteChange::Kind::kUnreadable) == 1);
+}
+
 TEST_CASE(
     "an unreachable store leaves the view unchanged and gets few retries") {
   Site site;
--- a/tests/platform/platformrecorddecodertest.cpp
+++ b/tests/platform/platformrecorddecodertest.cpp
@@ -105,13 +105,22 @@
   CHECK(refused("\xff\xfe"));
   CHECK(refused("[]"));
   CHECK(refused("{}"));
-  for (const char* name : {"service", "zone", "address", "state",
-                           "concurrency_limit", "cold_left_ms"}) {
+  for (const char* name : {"service", "zone", "address", "version", "state",
+                           "concurrency_limit", "cold_left_ms", "seq"}) {
     std::string changed = kEntry;
     changed.replace(changed.find(name), 1, "#");
     CAPTURE(name);
     CHECK(refused(changed));
   }
+  for (const char* field :
+       {"\"version\":\"v1\"", "\"seq\":4", "\"born\":1767225600000"}) {
+    std::string changed = kEntry;
+    const std::string text = field;
+    changed.replace(changed.find(text), text.size(),
+                    text.substr(0, text.find(':')) + ":[]");
+    CAPTURE(field);
+    CHECK(refused(changed));
+  }
   std::string state = kEntry;
   state.replace(state.find("ready"), 5, "happy");
   CHECK(refused(state));
