Let an agent that was paused take no flow before a balancer has confirmed it

Cause: an agent handed every SYN of its service to whatever runs at the upstream's address. If the agent was paused while its upstream ended, SYNs waited in its socket, and after the pause they reached the upstream of another service that uses the address by then. Nothing told the agent which service its address has. The class of fault: a process that wakes acts on messages that waited, with a view from before.

An agent that stood still for a second refuses new flows until a balancer's message arrives that cannot have waited. Requests for reports name the service that the view has for the agent's address; an agent whose address belongs to another service refuses new flows and ignores that entry.

--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -445,8 +445,11 @@
 }
 
 // A target falls silent for good; its address goes to a target of another
-// service, with a node of its own.
-int ReusedAddress(const std::string& folder, const std::string& work) {
+// service. The node beside it is replaced as well, or was paused and is still
+// there when it wakes.
+int ReuseAddress(const std::string& folder,
+                 const std::string& work,
+                 bool paused) {
   constexpr double kReuseAfterMs = 2000;
   Site site(folder, work, kTwoZones);
   site.MakeCommands();
@@ -464,36 +467,51 @@
     }
   };
   site.Run(2000);
-  Target* target = site.targets[0].get();
   Process* side = site.Find("side-merkato-0");
-  site.record.Write("the target " + Text(target->address) + " falls silent");
-  target->Exit();
+  site.record.Write("the target " + Text(site.targets[0]->address) +
+                    " falls silent");
+  site.targets[0]->Exit();
+  if (paused && site.trouble) {
+    site.Signal(side, SIGSTOP);
+  }
   site.Run(kReuseAfterMs);
-  if (site.trouble) {
+  if (!paused) {
     site.Signal(side, SIGKILL);
     for (const double end = Now() + 2000; side->pid > 0 && Now() < end;) {
       site.Run(1);
     }
-    if (!site.Reuse(0, "ledger")) {
-      return kCouldNotRun;
+  }
+  if (!site.Reuse(0, "ledger")) {
+    return kCouldNotRun;
+  }
+  site.targets[0]->on_opening = [&](const Flow& flow) {
+    if (flow.route.port != kSheetPort) {
+      site.record.Broken("ROUTE: " + Text(flow) + " reaches " +
+                         Text(site.targets[0]->address) + " of ledger");
     }
-    site.targets[0]->on_opening = [&](const Flow& flow) {
-      if (flow.route.port != kSheetPort) {
-        site.record.Broken("ROUTE: " + Text(flow) + " reaches " +
-                           Text(site.targets[0]->address) + " of ledger");
-      }
-    };
+  };
+  if (paused) {
+    site.Signal(side, SIGCONT);
+  } else {
     site.Spawn(side);
-    site.store->Remove(site.Key(0));
-    std::string entry = site.Entry(0, "ready");
-    entry.replace(entry.find("\"born\":") + 7, 13, "1790000900000");
-    site.store->Put("servers/i-reused", entry);
-    site.record.Write("its address goes to a target of ledger");
   }
+  site.store->Remove(site.Key(0));
+  std::string entry = site.Entry(0, "ready");
+  entry.replace(entry.find("\"born\":") + 7, 13, "1790000900000");
+  site.store->Put("servers/i-reused", entry);
+  site.record.Write("its address goes to a target of ledger");
   site.Run(4000);
   return Finish(&site);
 }
 
+int ReusedAddress(const std::string& folder, const std::string& work) {
+  return ReuseAddress(folder, work, false);
+}
+
+int PausedAgent(const std::string& folder, const std::string& work) {
+  return ReuseAddress(folder, work, true);
+}
+
 // A configuration adds a route. Flows on it open at a balancer that has it, and
 // their next packets come through one that has not.
 int NewRoute(const std::string& folder, const std::string& work) {
@@ -627,7 +645,7 @@
       {"rolling-agents", RollingAgents},   {"changed-weights", ChangedWeights},
       {"leaving-target", LeavingTarget},   {"cut-readers", CutReaders},
       {"reused-address", ReusedAddress},   {"new-route", NewRoute},
-      {"odd-entries", OddEntries},
+      {"odd-entries", OddEntries},         {"paused-agent", PausedAgent},
   };
   return cases;
 }
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -96,10 +96,15 @@
 
   const SocketAddress& address() const { return m_address; }
   /// Service of the upstream as the agent reports it; before the first report
-  /// as the view has it.
+  /// as the view has or had it.
   const std::string& service() const {
     return m_reported_service.empty() ? m_listed_service : m_reported_service;
   }
+  /// Service that the view has or last had for the agent's address; empty if it
+  /// never had one.
+  const std::string& listed_service() const { return m_listed_service; }
+  /// Revision of that entry.
+  Revision entry_revision() const { return m_entry_revision; }
   const std::string& zone() const { return m_zone; }
   /// Identifies the agent's current run; zero before its first report.
   Incarnation incarnation() const { return m_incarnation; }
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -624,12 +624,14 @@
   const Incarnation incarnation =
       before ? before->incarnation() : Incarnation{};
   const AgentPeerPtr agent = m_agents.OnStatus(source, status, now);
-  if (!before || agent->silent()) {
+  const bool was_silent = agent->silent();
+  if (!before || was_silent) {
     agent->set_silent(false);
     Report(Kind::kPeerBack, {}, agent.get(), "report", now);
   }
-  if (incarnation != Incarnation{} && incarnation != status.incarnation) {
-    m_heartbeats.OnAgentRestarted(*agent, now);
+  if (was_silent ||
+      (incarnation != Incarnation{} && incarnation != status.incarnation)) {
+    m_heartbeats.OnAgentBack(*agent, now);
   }
   if (phase != status.phase) {
     Report(Kind::kPeerPhase, {}, agent.get(), ToString(status.phase), now);
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -53,6 +53,7 @@
 void FlowTracker::OnNodeMessage(const SocketAddress& source,
                                 const NodeMessage& message,
                                 TimePoint now) {
+  OnActivity(now);
   if (const auto* deliver = std::get_if<DeliverMessage>(&message)) {
     OnDeliver(source, *deliver, now);
   } else if (const auto* heartbeat = std::get_if<BalancerHeartbeat>(&message)) {
@@ -64,6 +65,22 @@
   }
 }
 
+void FlowTracker::OnActivity(TimePoint now) {
+  if (m_last_activity != TimePoint{} &&
+      now - m_last_activity >= kPauseThreshold) {
+    m_resumed = now;
+    m_view_confirmed = false;
+    Report(Kind::kPeerPhase, {}, {}, "resumed");
+    m_reporter.SendToAll(MakeStatus(now), m_balancers);
+  }
+  m_last_activity = now;
+}
+
+void FlowTracker::ConfirmView(TimePoint now) {
+  // A message that waited during the pause says nothing about the present.
+  m_view_confirmed = m_view_confirmed || now - m_resumed >= kBacklogTime;
+}
+
 void FlowTracker::OnDeliver(const SocketAddress& source,
                             const DeliverMessage& message,
                             TimePoint now) {
@@ -94,9 +111,9 @@
                             const FlowTuple& tuple,
                             TimePoint now) {
   const auto known = m_flows.find(tuple);
-  const bool copy = known != m_flows.end() &&
-                    known->second.syn_sequence == packet.sequence &&
-                    known->second.state != State::kUnconfirmed;
+  const bool copy =
+      known != m_flows.end() && known->second.syn_sequence == packet.sequence &&
+      known->second.state != State::kUnconfirmed && m_view_confirmed;
   if (!copy) {
     const ReturnReason refusal = RejectReason(now);
     if (refusal != ReturnReason::kCount) {
@@ -290,6 +307,7 @@
 
 void FlowTracker::OnUpstreamPacket(std::span<std::uint8_t> datagram,
                                    TimePoint now) {
+  OnActivity(now);
   const std::optional<FlowPacket> packet = m_codec.Decode(datagram);
   if (!packet) {
     Report(Kind::kDropped, {}, {}, "malformed");
@@ -386,7 +404,10 @@
   if (m_phase == AgentPhase::kUpstreamDown) {
     return ReturnReason::kUpstreamDown;
   }
-  if (m_entry_revision == Revision{}) {
+  if (IsOfOtherService(m_entry_revision)) {
+    return ReturnReason::kWrongService;
+  }
+  if (m_entry_revision == Revision{} || !m_view_confirmed) {
     // The upstream may be in its cold start, or not be allowed to get flows.
     return ReturnReason::kUpstreamCold;
   }
@@ -400,6 +421,7 @@
 void FlowTracker::OnHeartbeat(const SocketAddress& source,
                               const BalancerHeartbeat& heartbeat,
                               TimePoint now) {
+  ConfirmView(now);
   if (m_balancers.OnHeartbeat(source, heartbeat, now)) {
     Report(Kind::kPeerBack, {}, source, "heartbeat");
     SendAllFlows(source, now);
@@ -425,16 +447,27 @@
                                   TimePoint now) {
   const auto before = m_balancers.ReportInterval(source);
   m_balancers.OnReportRequest(source, request, now);
+  if (!request.service.empty() && request.entry_revision >= m_listed_revision) {
+    m_listed_service = request.service;
+    m_listed_revision = request.entry_revision;
+  }
+  ConfirmView(now);
   if (before != request.interval && m_balancers.WantsReports(source, now)) {
     m_reporter.SendTo(source, MakeStatus(now), {}, m_balancers);
   }
 }
 
+bool FlowTracker::IsOfOtherService(Revision revision) const {
+  return !m_listed_service.empty() && m_listed_service != m_settings.service &&
+         m_listed_revision >= revision;
+}
+
 void FlowTracker::OnUpstreamEntry(const SocketAddress& source,
                                   const BalancerHeartbeat& heartbeat,
                                   TimePoint now) {
   if (heartbeat.entry_revision == Revision{} ||
-      heartbeat.entry_revision < m_entry_revision) {
+      heartbeat.entry_revision < m_entry_revision ||
+      IsOfOtherService(heartbeat.entry_revision)) {
     return;
   }
   if (heartbeat.entry_revision > m_entry_revision) {
@@ -482,6 +515,7 @@
 }
 
 void FlowTracker::OnTick(TimePoint now) {
+  OnActivity(now);
   if (now >= m_next_sweep) {
     m_next_sweep = now + kSweepInterval;
     Sweep(now);
--- a/src/libflow/flowtracker.h
+++ b/src/libflow/flowtracker.h
@@ -34,6 +34,13 @@
   /// a notice is lost. An agent that stops has to run until then.
   static constexpr std::chrono::milliseconds kNoticeTime{150};
 
+  /// A longer time without a call means that the process was paused. Meanwhile
+  /// the upstream may have ended, and its address may be in use by another one;
+  /// this takes 2 s at least.
+  static constexpr std::chrono::milliseconds kPauseThreshold{1000};
+  /// Messages that arrived during a pause are read within this time after it.
+  static constexpr std::chrono::milliseconds kBacklogTime{100};
+
   struct Settings {
     Incarnation incarnation{};
     std::string service;
@@ -156,6 +163,13 @@
   void OnReportRequest(const SocketAddress& source,
                        const ReportRequest& request,
                        TimePoint now);
+  /// Detects that the process was paused; called first for every event.
+  void OnActivity(TimePoint now);
+  /// Called when a balancer has sent its view.
+  void ConfirmView(TimePoint now);
+  /// Whether an entry of a newer revision than \p revision, or of the same,
+  /// names another service than the agent's.
+  bool IsOfOtherService(Revision revision) const;
   /// Applies the upstream's entry in the balancer's view, unless a newer
   /// revision has been applied.
   void OnUpstreamEntry(const SocketAddress& source,
@@ -174,6 +188,14 @@
   BalancerTable m_balancers;
   StatusReporter m_reporter;
   Revision m_entry_revision{};
+  /// Service that the store has for the agent's address, and the revision of
+  /// that entry; empty before a balancer has named it.
+  std::string m_listed_service;
+  Revision m_listed_revision{};
+  TimePoint m_last_activity{};
+  TimePoint m_resumed{};
+  /// A balancer has sent its view since the last pause.
+  bool m_view_confirmed = true;
   bool m_draining = false;
   ColdStartLimiter m_cold_start;
   PendingRequestQueue m_pending_requests;
--- a/src/libflow/heartbeatscheduler.cpp
+++ b/src/libflow/heartbeatscheduler.cpp
@@ -51,7 +51,8 @@
     const BalancerHeartbeat next = agent->MakeHeartbeat(m_self, {}, now);
     const BalancerHeartbeat& last = sent->second.heartbeat;
     const bool restricted =
-        next.zone_out != last.zone_out || next.draining != last.draining;
+        next.zone_out != last.zone_out || next.draining != last.draining ||
+        agent->listed_service() != sent->second.requested_service;
     if (restricted || (agent->reports_wanted() &&
                        next.entry_revision != last.entry_revision)) {
       Send(*agent, now);
@@ -111,8 +112,7 @@
   return announced;
 }
 
-void HeartbeatScheduler::OnAgentRestarted(const AgentPeer& agent,
-                                          TimePoint now) {
+void HeartbeatScheduler::OnAgentBack(const AgentPeer& agent, TimePoint now) {
   m_sent.erase(agent.address());
   Send(agent, now);
 }
@@ -121,13 +121,17 @@
   Sent& sent = m_sent[agent.address()];
   const milliseconds interval = agent.wanted_interval();
   if (sent.at == TimePoint{} || interval != sent.requested_interval ||
+      agent.listed_service() != sent.requested_service ||
       now - sent.request_at >= kRequestInterval ||
       (agent.reports_wanted() && !agent.IsReporting())) {
     // The request comes first: the agent answers the first heartbeat with the
     // flows of the balancer's zone, which it knows from the request.
-    m_output->SendToNode(agent.address(), ReportRequest{m_zone, interval});
+    m_output->SendToNode(agent.address(),
+                         ReportRequest{m_zone, interval, agent.listed_service(),
+                                       agent.entry_revision()});
     sent.request_at = now;
     sent.requested_interval = interval;
+    sent.requested_service = agent.listed_service();
   }
   sent.at = now;
   sent.heartbeat = agent.MakeHeartbeat(m_self, NextAnnounced(&sent), now);
--- a/src/libflow/heartbeatscheduler.h
+++ b/src/libflow/heartbeatscheduler.h
@@ -48,14 +48,16 @@
   /// Sends all heartbeats that are due.
   void OnTick(const AgentTable& agents, TimePoint now);
 
-  /// Sends a request and a heartbeat at once to an agent that has restarted.
-  void OnAgentRestarted(const AgentPeer& agent, TimePoint now);
+  /// Sends a request and a heartbeat at once to an agent that has restarted or
+  /// was silent.
+  void OnAgentBack(const AgentPeer& agent, TimePoint now);
 
  private:
   struct Sent {
     TimePoint at{};
     TimePoint request_at{};
     std::chrono::milliseconds requested_interval{0};
+    std::string requested_service;
     BalancerHeartbeat heartbeat;
     /// Last balancer that was announced to the agent.
     SocketAddress last_announced;
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -94,6 +94,11 @@
   std::string_view zone;
   /// Interval of regular reports; 0 for none.
   std::chrono::milliseconds interval{0};
+  /// Service that the view has for the agent's address, and the revision of
+  /// that entry; empty and 0 if the view has no entry, or from a balancer that
+  /// does not send them.
+  std::string_view service;
+  Revision entry_revision{};
 };
 
 enum class AgentPhase : std::uint8_t {
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -31,6 +31,8 @@
 /// The same for a status with a report interval.
 constexpr std::uint32_t kNumberedStatusFields = 12;
 constexpr std::uint32_t kReportRequestFields = 3;
+/// The same for a request that names the service of the agent's address.
+constexpr std::uint32_t kServiceReportRequestFields = 5;
 constexpr std::uint32_t kFlowFields = 5;
 constexpr std::uint32_t kAddressFields = 2;
 constexpr std::uint32_t kSharedChangesFields = 8;
@@ -173,9 +175,15 @@
 }
 
 void Write(MsgpackWriter* writer, const ReportRequest& message) {
-  WriteHead(writer, Kind::kReportRequest, kReportRequestFields);
+  WriteHead(writer, Kind::kReportRequest,
+            message.service.empty() ? kReportRequestFields
+                                    : kServiceReportRequestFields);
   WriteName(writer, message.zone);
   WriteTime(writer, message.interval);
+  if (!message.service.empty()) {
+    WriteName(writer, message.service);
+    writer->WriteUint(static_cast<std::uint64_t>(message.entry_revision));
+  }
 }
 
 void Write(MsgpackWriter* writer, const SharedChanges& message) {
@@ -280,6 +288,13 @@
   return message;
 }
 
+ReportRequest ReadServiceReportRequest(MsgpackReader* reader) {
+  ReportRequest message = ReadReportRequest(reader);
+  message.service = ReadName(reader);
+  reader->Read(&message.entry_revision, 0, kMax64);
+  return message;
+}
+
 std::string ReadText(MsgpackReader* reader) {
   const std::span<const std::uint8_t> bytes = reader->ReadBinary(kMaxItemBytes);
   return {bytes.begin(), bytes.end()};
@@ -330,6 +345,8 @@
     {Kind::kAgentStatus, kNumberedStatusFields, ReadAs<ReadNumberedStatus>},
     {Kind::kSharedChanges, kSharedChangesFields, ReadAs<ReadSharedChanges>},
     {Kind::kReportRequest, kReportRequestFields, ReadAs<ReadReportRequest>},
+    {Kind::kReportRequest, kServiceReportRequestFields,
+     ReadAs<ReadServiceReportRequest>},
 };
 
 }  // namespace
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -97,6 +97,8 @@
     std::unique_ptr<FlowTracker> tracker;
     std::unique_ptr<FakeUpstream> upstream;
     bool running = true;
+    /// The process stands still; messages to it wait.
+    bool paused = false;
     bool listed = true;
   };
 
@@ -229,7 +231,7 @@
       DeliverAll();
       if (m_steps % 10 == 0) {
         for (const auto& agent : agents) {
-          if (agent->running) {
+          if (agent->running && !agent->paused) {
             agent->tracker->OnTick(clock.Now());
           }
         }
@@ -258,12 +260,21 @@
   void DeliverAll() {
     while (!m_datagrams_in_flight.empty() || !m_from_upstreams.empty()) {
       const auto wire = std::exchange(m_datagrams_in_flight, {});
+      bool delivered_any = false;
       for (const Datagram& datagram : wire) {
+        if (IsPaused(datagram.to)) {
+          m_datagrams_in_flight.push_back(datagram);
+          continue;
+        }
+        delivered_any = true;
         if (!is_lost || !is_lost(datagram.from, datagram.to)) {
           Deliver(datagram);
         }
       }
       const auto packets = std::exchange(m_from_upstreams, {});
+      if (!delivered_any && packets.empty()) {
+        return;
+      }
       for (const auto& [agent, packet] : packets) {
         if (agent == delayed) {
           m_delayed_packets.emplace_back(agent, packet);
@@ -402,6 +413,12 @@
     std::vector<std::uint8_t> bytes;
   };
 
+  bool IsPaused(const SocketAddress& address) const {
+    return std::any_of(agents.begin(), agents.end(), [&](const auto& agent) {
+      return agent->paused && agent->address == address;
+    });
+  }
+
   void Deliver(const Datagram& datagram) {
     const auto message = DecodeNodeMessage(datagram.bytes);
     if (!message) {
--- a/tests/libflow/nodemessagecodectest.cpp
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -83,13 +83,20 @@
 }
 
 TEST_CASE("a report request is decoded unchanged") {
-  const std::vector<std::uint8_t> bytes =
-      Encode(ReportRequest{"a-zone", milliseconds(100)});
+  ReportRequest request{"a-zone", milliseconds(100), "", Revision{}};
+  SUBCASE("without the service of the address") {}
+  SUBCASE("with the service of the address") {
+    request.service = "counter";
+    request.entry_revision = Revision{77};
+  }
+  const std::vector<std::uint8_t> bytes = Encode(request);
   const auto decoded = DecodeNodeMessage(bytes);
   REQUIRE(decoded);
   const auto& read = std::get<ReportRequest>(*decoded);
   CHECK(read.zone == "a-zone");
   CHECK(read.interval == milliseconds(100));
+  CHECK(read.service == request.service);
+  CHECK(read.entry_revision == request.entry_revision);
 }
 
 TEST_CASE("a status is decoded with and without a report interval") {
@@ -136,7 +143,8 @@
       heartbeat,
       Status(2),
       changes,
-      ReportRequest{"a-zone", milliseconds(100)}};
+      ReportRequest{"a-zone", milliseconds(100), "", Revision{}},
+      ReportRequest{"a-zone", milliseconds(100), "counter", Revision{77}}};
   for (int i = 0; i < 200'000; ++i) {
     std::vector<std::uint8_t> bytes =
         Encode(messages[random() % messages.size()]);
--- a/tests/libflow/viewtest.cpp
+++ b/tests/libflow/viewtest.cpp
@@ -95,6 +95,58 @@
   CHECK(agent->upstream->opened.empty());
 }
 
+// Guards against a SYN that runs at another service (ROUTE), because the agent
+// was paused while its upstream ended and the address came into use again.
+TEST_CASE("a SYN that waited at a paused agent does not reach the upstream") {
+  FlowSite site(2, 3);
+  FlowSite::Agent* agent = site.agents[0].get();
+  agent->paused = true;
+  std::uint32_t caller = 0;
+  const auto open_some = [&] {
+    for (int i = 0; i < 10; ++i) {
+      site.Open(0, FlowSite::Tuple(++caller));
+    }
+  };
+  open_some();
+  site.Run(milliseconds(2500));
+  SUBCASE("its upstream is there") {}
+  SUBCASE("another service uses the address") {
+    agent->entry.service = "ledger";
+    site.view.services["ledger"] = {};
+    site.BumpRevision(agent);
+    site.Publish();
+  }
+  const bool replaced = agent->entry.service != "counter";
+  agent->upstream->Restart();
+  agent->paused = false;
+  site.DeliverAll();
+  CHECK(agent->upstream->opened.empty());
+  site.Run(milliseconds(500));
+  for (int i = 0; i < 5; ++i) {
+    open_some();
+    site.Run(milliseconds(100));
+  }
+  CHECK(agent->upstream->opened.empty() == replaced);
+}
+
+TEST_CASE("an agent takes no flow while its address has another service") {
+  FlowSite site(1, 2);
+  FlowSite::Agent* agent = site.agents[0].get();
+  agent->entry.service = "ledger";
+  site.view.services["ledger"] = {};
+  site.BumpRevision(agent);
+  site.Publish();
+  // A balancer with an old view.
+  FlowPacket syn = FlowSite::Packet(FlowSite::Tuple(1));
+  syn.syn = true;
+  const std::vector<std::uint8_t> bytes = PlainCodec::Encode(syn);
+  agent->tracker->OnNodeMessage({0x0A010077, FlowSite::kNodePort},
+                                DeliverMessage{"counter", false, {}, bytes},
+                                site.clock.Now());
+  CHECK(agent->upstream->opened.empty());
+  CHECK(site.Decisions("open_returned wrong_service") == 1);
+}
+
 // Guards against a reset of an open flow (FLOW) by a balancer that has not got
 // the configuration with the flow's route yet.
 TEST_CASE("an open flow of a route that a balancer does not know is kept") {
