Announce new balancers also to agents whose entry is missing for a moment

A balancer that started just after the entry had gone was not announced in time.

Heartbeats now announce balancers to every agent without an entry in the store.

--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -154,8 +154,10 @@
     TimePoint now) const {
   BalancerHeartbeat heartbeat;
   heartbeat.incarnation = balancer;
-  if (!m_listed) {
+  if (!IsInStore()) {
     heartbeat.new_balancers = new_balancers;
+  }
+  if (!m_listed) {
     return heartbeat;
   }
   heartbeat.entry_revision = m_entry_revision;
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -87,8 +87,8 @@
   /// Whether the upstream is in its cold start.
   bool IsCold(TimePoint now) const { return now < m_cold_until; }
 
-  /// Returns the heartbeat for the agent: its upstream's entry in the view, or
-  /// \p new_balancers if the view does not list the upstream.
+  /// Returns the heartbeat for the agent: its upstream's entry in the view, and
+  /// \p new_balancers if the store has no entry.
   BalancerHeartbeat MakeHeartbeat(
       Incarnation balancer,
       const std::vector<SocketAddress>& new_balancers,
@@ -113,6 +113,8 @@
   std::optional<TimePoint> last_report() const { return m_last_report; }
   std::chrono::milliseconds report_age(TimePoint now) const;
   bool listed() const { return m_listed; }
+  /// Whether the store has an entry; the view lists one for a while longer.
+  bool IsInStore() const { return m_listed && !m_missing; }
   /// When the view last listed the agent; the epoch if it never did.
   TimePoint last_listed() const { return m_last_listed; }
   bool silent() const { return m_silent; }
--- a/src/libflow/heartbeatscheduler.cpp
+++ b/src/libflow/heartbeatscheduler.cpp
@@ -32,9 +32,9 @@
 
 Duration HeartbeatScheduler::IntervalFor(const AgentPeer& agent,
                                          std::size_t agent_count) const {
-  // Only other balancers can tell an agent that the store does not list of a
-  // new one.
-  if (!agent.listed() && !m_new_balancers.empty()) {
+  // Only other balancers can tell an agent that is not in the store of a new
+  // one.
+  if (!agent.IsInStore() && !m_new_balancers.empty()) {
     return std::min<Duration>(kInterval, RegularInterval(agent, agent_count));
   }
   return RegularInterval(agent, agent_count);
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -80,8 +80,8 @@
   /// Limit on new flows per second during the cold start, in thousandths; 0 for
   /// no limit.
   std::uint32_t cold_rate_milli = 0;
-  /// Balancers that appeared recently, for an agent that the store no longer
-  /// lists: they cannot find it in the store.
+  /// Balancers that appeared recently, for an agent without an entry in the
+  /// store: they cannot find it there.
   std::vector<SocketAddress> new_balancers;
 };
 
--- a/tests/libflow/flowownertest.cpp
+++ b/tests/libflow/flowownertest.cpp
@@ -165,6 +165,17 @@
   owner->listed = false;
   site.Publish();
   std::size_t balancer = 0;
+  SUBCASE("restarted while the others still list the missing entry") {
+    owner->listed = true;
+    owner->entry.missing_since = site.clock.Now();
+    site.Publish();
+    owner->listed = false;
+    site.StartBalancer(0);
+    site.view.upstreams.erase(owner->entry.address.ipv4);
+    site.balancers[0]->router->InstallView(
+        std::make_shared<SiteView>(site.view), site.clock.Now());
+    site.Run(milliseconds(1500));
+  }
   SUBCASE("restarted one after the other") {
     for (const std::size_t restarted : {1U, 0U}) {
       site.StartBalancer(restarted);
