Bound the age of a view that no reader of the store confirms

Cause: a reader whose watch was dead claimed to read for 1.8 s, the others saw the end of that claim at its next heartbeat, took over after up to 0.8 s, and a configuration, which fits into no message, was noticed at one more heartbeat. A process that took over claimed to read before it had. Besides, a reader that lags cleared the mark of another process that it had missed a change. The class of fault: time-outs that are each fine add up along a chain that nobody bounds.

Readers now say how old their last answer is. A process whose state nobody has confirmed for 1.7 s reads the store itself, whoever is elected; that alone bounds the delay. A reader whose watch is late by 0.4 s says so at once, one that takes over claims to read after its first answer, watches wait 750 ms, and a change that fits into no message is announced at once. The newest change that any process knows stays marked until it is read.

--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -35,7 +35,7 @@
 constexpr std::uint32_t kServiceReportRequestFields = 5;
 constexpr std::uint32_t kFlowFields = 5;
 constexpr std::uint32_t kAddressFields = 2;
-constexpr std::uint32_t kSharedChangesFields = 8;
+constexpr std::uint32_t kSharedChangesFields = 9;
 constexpr std::uint32_t kItemFields = 3;
 /// Messages with longer names of services and zones are rejected.
 constexpr std::size_t kMaxNameBytes = 200;
@@ -191,6 +191,7 @@
   WriteName(writer, message.prefix);
   writer->WriteUint(static_cast<std::uint64_t>(message.sender));
   writer->WriteBool(message.reads_store);
+  WriteTime(writer, message.age);
   writer->WriteUint(static_cast<std::uint64_t>(message.after));
   writer->WriteUint(static_cast<std::uint64_t>(message.as_of));
   writer->WriteArray(static_cast<std::uint32_t>(message.items.size()));
@@ -305,6 +306,7 @@
   message.prefix = ReadName(reader);
   reader->Read(&message.sender, 0, kMax64);
   message.reads_store = reader->ReadBool();
+  message.age = ReadTime(reader);
   reader->Read(&message.after, 0, kMax64);
   reader->Read(&message.as_of, 0, kMax64);
   const std::uint32_t count = reader->ReadArray();
--- a/src/libnet/storereader.cpp
+++ b/src/libnet/storereader.cpp
@@ -91,7 +91,7 @@
                     {{LogKey::kSource, follower.prefix()}});
   }
   follower.SetPassive(passive, now);
-  if (part->relay.TakeDueHeartbeat(now)) {
+  if (part->relay.TakeDueHeartbeat(follower.ReadsStore(now), now)) {
     SharedChanges heartbeat = follower.MakeHeartbeat(now);
     heartbeat.sender = m_sharing.self;
     heartbeat.peers = part->relay.NextPeerSample(now);
@@ -189,6 +189,7 @@
     m_callbacks.changed(m_state.View());
   }
   Confirm();
+  Share(part);
   Read(part);
 }
 
@@ -203,9 +204,9 @@
   if (IsCurrent()) {
     const auto oldest = std::min_element(
         m_parts.begin(), m_parts.end(), [](const auto& a, const auto& b) {
-          return a->follower.last_contact() < b->follower.last_contact();
+          return a->follower.confirmed_at() < b->follower.confirmed_at();
         });
-    m_callbacks.confirmed((*oldest)->follower.last_contact());
+    m_callbacks.confirmed((*oldest)->follower.confirmed_at());
   }
 }
 
@@ -230,7 +231,7 @@
         "store_state_age_seconds",
         "Time since the store, or a process that reads it, last "
         "confirmed the state",
-        std::chrono::duration<double>(now - part->follower.last_contact())
+        std::chrono::duration<double>(now - part->follower.confirmed_at())
             .count(),
         {{"part", part->follower.prefix()}});
   }
--- a/src/libsite/changerelay.cpp
+++ b/src/libsite/changerelay.cpp
@@ -20,8 +20,7 @@
 /// the rest of a datagram of 1,400 bytes.
 constexpr std::size_t kMaxItemBytes = 1100;
 constexpr std::size_t kItemOverheadBytes = 24;
-/// Longest delay before a process takes over if there is no reader. Together
-/// with the time-out of heartbeats and that of a dead watch it stays below 4 s.
+/// Longest delay before a process takes over if there is no reader.
 constexpr std::chrono::milliseconds kMaxFirstDelay{800};
 /// The same if there is one reader, which suffices for a while.
 constexpr std::chrono::milliseconds kMaxSecondDelay{5000};
@@ -94,8 +93,6 @@
   if (m_reading) {
     m_none_since.reset();
     m_too_few_since.reset();
-    // The others must not take over as well.
-    m_next_heartbeat = now;
   }
   return m_reading;
 }
@@ -146,10 +143,11 @@
   return sample;
 }
 
-bool ChangeRelay::TakeDueHeartbeat(TimePoint now) {
-  if (now < m_next_heartbeat) {
+bool ChangeRelay::TakeDueHeartbeat(bool reads_store, TimePoint now) {
+  if (now < m_next_heartbeat && reads_store == m_claimed_to_read) {
     return false;
   }
+  m_claimed_to_read = reads_store;
   m_next_heartbeat = now + kHeartbeatInterval;
   return true;
 }
@@ -169,6 +167,10 @@
   for (StoreItem& item : items) {
     const std::size_t size = SizeOf(item);
     if (size > kMaxItemBytes) {
+      messages.emplace_back();
+      messages.back().reads_store = true;
+      messages.back().after = as_of;
+      messages.back().as_of = as_of;
       return messages;
     }
     if (bytes + size > kMaxItemBytes) {
--- a/src/libsite/changerelay.h
+++ b/src/libsite/changerelay.h
@@ -63,11 +63,13 @@
   std::vector<SocketAddress> NextPeerSample(TimePoint now);
 
   /// Returns whether a heartbeat is due, and schedules the next one if it is.
-  bool TakeDueHeartbeat(TimePoint now);
+  /// One is due at once when \p reads_store, the answer of
+  /// StoreFollower::ReadsStore(), has changed.
+  bool TakeDueHeartbeat(bool reads_store, TimePoint now);
 
   /// Splits changes into messages that each fit into a datagram. If one item
-  /// alone is too large, it and all later items are left out, and the receivers
-  /// have to read them from the store.
+  /// alone is too large, it and all later items are left out, and the last
+  /// message tells the receivers to read them from the store.
   static std::vector<SharedChanges> SplitIntoMessages(
       Revision after,
       Revision as_of,
@@ -100,6 +102,8 @@
   std::optional<TimePoint> m_none_since;
   std::optional<TimePoint> m_too_few_since;
   TimePoint m_next_heartbeat{};
+  /// What the last heartbeat said.
+  bool m_claimed_to_read = false;
 };
 
 }  // namespace fireflytrestle
--- a/src/libsite/sharedchanges.h
+++ b/src/libsite/sharedchanges.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYTRESTLE_LIBSITE_SHAREDCHANGES_H_
 #define FIREFLYTRESTLE_LIBSITE_SHAREDCHANGES_H_
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
   Incarnation sender{};
   /// The sender reads the store itself and has received an answer recently.
   bool reads_store = false;
+  /// Time since that answer arrived.
+  std::chrono::milliseconds age{0};
   /// \ref items contains all changes after this revision, up to and including
   /// \ref as_of.
   Revision after{};
--- a/src/libsite/storefollower.cpp
+++ b/src/libsite/storefollower.cpp
@@ -27,14 +27,23 @@
 StoreFollower::StoreFollower(std::string prefix,
                              SiteState* state,
                              RandomSource* random)
-    : m_prefix(std::move(prefix)), m_state(state), m_random(random) {}
+    : m_prefix(std::move(prefix)),
+      m_state(state),
+      m_random(random),
+      m_confirmation_jitter(static_cast<std::int64_t>(random->Below(
+          static_cast<std::uint64_t>(kMaxConfirmationJitter.count())))) {}
+
+bool StoreFollower::IsUpdatedByPeers(TimePoint now) const {
+  return m_passive && m_listed && !MissedChange() &&
+         now - m_confirmed_at < kMaxConfirmationAge + m_confirmation_jitter;
+}
 
 StoreFollower::Read StoreFollower::OnTick(TimePoint now) {
-  const bool updated_by_peers = m_passive && m_listed && !m_missed_changes;
-  if (m_read_pending || now < m_next_read || updated_by_peers) {
+  if (m_read_pending || now < m_next_read || IsUpdatedByPeers(now)) {
     return {};
   }
   m_read_pending = true;
+  m_read_began = now;
   Read read;
   read.number = ++m_read_number;
   if (!m_listed) {
@@ -67,16 +76,21 @@
     case StoreAnswer::Outcome::kHistoryGone:
       m_listed = false;
       m_pages.clear();
-      m_last_contact = now;
       return false;
     case StoreAnswer::Outcome::kItems:
       break;
   }
   m_failures = 0;
-  m_missed_changes = false;
-  m_last_contact = now;
   m_last_read = now;
-  return m_listed ? OnEvents(answer, now) : OnPage(answer, now);
+  const bool changed = m_listed ? OnEvents(answer, now) : OnPage(answer, now);
+  if (m_listed) {
+    m_confirmed_at = now;
+    if (m_change_announced <= m_read_began) {
+      // The store itself does not have a later change.
+      m_newest_change = std::min(m_newest_change, m_position);
+    }
+  }
+  return changed;
 }
 
 bool StoreFollower::OnPage(const StoreAnswer& answer, TimePoint now) {
@@ -130,8 +144,8 @@
 
 bool StoreFollower::ReadsStore(TimePoint now) const {
   return !m_passive && m_listed && m_failures == 0 &&
-         (now - m_last_read <= kWatchWait + kAnswerTimeout ||
-          now - m_active_since <= kAnswerTimeout);
+         m_last_read >= m_active_since &&
+         now - m_last_read <= kWatchWait + kLateWatch;
 }
 
 bool StoreFollower::OnSharedChanges(const SharedChanges& changes,
@@ -147,13 +161,17 @@
   if (!m_listed || !changes.reads_store) {
     return changed;
   }
-  m_missed_changes = changes.after > m_position;
-  if (!m_missed_changes) {
-    if (!changes.items.empty() && changes.as_of > m_position) {
-      m_unchanged_since = changes.as_of;
-    }
-    m_position = std::max(m_position, changes.as_of);
-    m_last_contact = now;
+  m_newest_change = std::max(m_newest_change, changes.after);
+  if (changes.after > m_position) {
+    m_change_announced = now;
+    return changed;
+  }
+  if (!changes.items.empty() && changes.as_of > m_position) {
+    m_unchanged_since = changes.as_of;
+  }
+  m_position = std::max(m_position, changes.as_of);
+  if (!MissedChange()) {
+    m_confirmed_at = std::max(m_confirmed_at, now - changes.age);
     m_last_shared = now;
   }
   return changed;
@@ -163,6 +181,7 @@
   SharedChanges heartbeat;
   heartbeat.prefix = m_prefix;
   heartbeat.reads_store = ReadsStore(now);
+  heartbeat.age = std::chrono::duration_cast<milliseconds>(now - m_last_read);
   heartbeat.after = m_unchanged_since;
   heartbeat.as_of = m_position;
   return heartbeat;
--- a/src/libsite/storefollower.h
+++ b/src/libsite/storefollower.h
@@ -35,14 +35,21 @@
     std::chrono::milliseconds wait{0};
   };
 
-  /// How long a watch waits for changes. A dead connection is detected only at
-  /// the end of this time plus kAnswerTimeout. Together with the time after
-  /// which another process replaces the reader, this has to be within the 4 s
-  /// after which an instance counts as undisturbed again.
-  static constexpr std::chrono::milliseconds kWatchWait{1000};
-  /// A read has failed if its answer does not arrive within its wait plus this
+  /// How long a watch waits for changes.
+  static constexpr std::chrono::milliseconds kWatchWait{750};
+  /// A read has failed if its answer does not begin within its wait plus this
   /// time.
   static constexpr std::chrono::milliseconds kAnswerTimeout{800};
+  /// A process whose watch is late by this much no longer counts as a reader;
+  /// its connection may be dead.
+  static constexpr std::chrono::milliseconds kLateWatch{400};
+  /// A passive follower reads the store itself if nobody has confirmed its
+  /// state for this long. Longer than a watch and a lost heartbeat take, and
+  /// short enough for a change to be in effect 3 s after it was made, whatever
+  /// happens to the readers.
+  static constexpr std::chrono::milliseconds kMaxConfirmationAge{1700};
+  /// Bound of a random addition to it, so that not all read at once.
+  static constexpr std::chrono::milliseconds kMaxConfirmationJitter{200};
 
   StoreFollower(std::string prefix, SiteState* state, RandomSource* random);
 
@@ -60,13 +67,13 @@
   /// they missed any.
   SharedChanges MakeHeartbeat(TimePoint now) const;
 
-  /// A passive follower relies on other processes for changes and reads from
-  /// the store only the first listing and changes that it missed.
+  /// A passive follower relies on other processes for changes. It reads from
+  /// the store only the first listing, changes that it missed, and its state if
+  /// that has not been confirmed for too long.
   void SetPassive(bool passive, TimePoint now);
   bool passive() const { return m_passive; }
   /// Whether this process reads the store itself and has received an answer
-  /// within the last kWatchWait plus kAnswerTimeout, or began to read within
-  /// the last kAnswerTimeout.
+  /// since it began to, within the last kWatchWait plus kLateWatch.
   bool ReadsStore(TimePoint now) const;
 
   /// Revision up to which all changes have been received.
@@ -78,10 +85,10 @@
   bool listed() const { return m_listed; }
 
   const std::string& prefix() const { return m_prefix; }
-  /// Time of the last answer from the store, or of the last message from a
-  /// process that reads the store if no changes before it are missing; the
-  /// epoch before the first one.
-  TimePoint last_contact() const { return m_last_contact; }
+  /// Last time as of which the state is known to have matched the store, by an
+  /// answer to this process or to another one that reads the store; the epoch
+  /// before the first answer.
+  TimePoint confirmed_at() const { return m_confirmed_at; }
   /// Whether the state is up to date: after the first listing, as long as the
   /// last read did not fail or another process has sent its changes recently.
   bool IsCurrent(TimePoint now) const;
@@ -90,6 +97,10 @@
   bool OnPage(const StoreAnswer& answer, TimePoint now);
   bool OnEvents(const StoreAnswer& answer, TimePoint now);
   void OnFailure(TimePoint now);
+  /// Another process knows a change that did not arrive here.
+  bool MissedChange() const { return m_newest_change > m_position; }
+  /// Whether a passive follower needs nothing from the store.
+  bool IsUpdatedByPeers(TimePoint now) const;
 
   std::string m_prefix;
   SiteState* m_state;
@@ -99,11 +110,15 @@
   bool m_passive = false;
   /// When this process began to read the store itself.
   TimePoint m_active_since{};
-  /// Changes before the last message of another process did not arrive here.
-  bool m_missed_changes = false;
+  /// Newest change that another process knows, and when it last said so before
+  /// the change arrived here.
+  Revision m_newest_change{};
+  TimePoint m_change_announced{};
+  std::chrono::milliseconds m_confirmation_jitter;
   std::uint64_t m_read_number = 0;
+  TimePoint m_read_began{};
   TimePoint m_next_read{};
-  TimePoint m_last_contact{};
+  TimePoint m_confirmed_at{};
   TimePoint m_last_read{};
   TimePoint m_last_shared{};
   int m_failures = 0;
--- a/tests/libsite/storefollowertest.cpp
+++ b/tests/libsite/storefollowertest.cpp
@@ -190,6 +190,57 @@
   CHECK(reads <= 20);
 }
 
+// Guards against a missed change that is forgotten (CONFIG) when a reader that
+// lags sends its heartbeat.
+TEST_CASE("a reader that lags does not hide a change that another has") {
+  Site site;
+  site.AnswerNextRead(Site::Answer({}, 5));
+  const TimePoint now = site.clock.Now();
+  site.follower.SetPassive(true, now);
+  SharedChanges heartbeat;
+  heartbeat.reads_store = true;
+  heartbeat.after = Revision{15};
+  heartbeat.as_of = Revision{15};
+  site.follower.OnSharedChanges(heartbeat, now);
+  heartbeat.after = Revision{5};
+  heartbeat.as_of = Revision{10};
+  site.follower.OnSharedChanges(heartbeat, now);
+  const StoreFollower::Read read = site.follower.OnTick(now);
+  CHECK(read.kind == StoreFollower::Read::Kind::kWatch);
+  SUBCASE("the change is there") {
+    site.follower.OnAnswer(read.number, Site::Answer({}, 15), now);
+  }
+  SUBCASE("the store itself does not have it") {
+    site.follower.OnAnswer(read.number, Site::Answer({}, 12), now);
+  }
+  CHECK(site.follower.OnTick(now).kind == StoreFollower::Read::Kind::kNone);
+}
+
+TEST_CASE("a state that nobody confirms is read from the store") {
+  Site site;
+  site.AnswerNextRead(Site::Answer({}, 5));
+  site.follower.SetPassive(true, site.clock.Now());
+  SharedChanges heartbeat;
+  heartbeat.reads_store = true;
+  heartbeat.after = Revision{5};
+  heartbeat.as_of = Revision{5};
+  const auto run = [&](Duration age, int steps) {
+    bool reads = false;
+    for (int i = 0; i < steps; ++i) {
+      heartbeat.age = std::chrono::duration_cast<milliseconds>(age);
+      site.follower.OnSharedChanges(heartbeat, site.clock.Now());
+      const auto read = site.follower.OnTick(site.clock.Now());
+      reads |= read.kind != StoreFollower::Read::Kind::kNone;
+      site.clock.Advance(milliseconds(100));
+    }
+    return reads;
+  };
+  CHECK_FALSE(run(StoreFollower::kWatchWait, 40));
+  CHECK(run(StoreFollower::kMaxConfirmationAge +
+                StoreFollower::kMaxConfirmationJitter,
+            25));
+}
+
 TEST_CASE("an answer to another read than the pending one is ignored") {
   Site site;
   const auto read = site.follower.OnTick(site.clock.Now());
