Read large items by a listing when a watch returns too much

Cause: a watch returns every version of an item. Its answer exceeded the limit of 4 MB or took longer than 0.8 s, was given up, and the same watch was sent again, with still more to return, until the store had dropped the history. The class of fault: a retry that repeats what cannot succeed.

A listing is no longer discarded because messages of other processes moved the position on while it was under way.

--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -444,6 +444,65 @@
   return Finish(&site);
 }
 
+// Large configurations come in quick succession to balancers whose links bear
+// 10 Mbit/s. The last one adds a route.
+int ConfigurationStorm(const std::string& folder, const std::string& work) {
+  constexpr int kVersions = 25;
+  constexpr double kGapMs = 60;
+  constexpr double kLinkBytesPerMs = 1250;
+  Site site(folder, work, kTwoZones);
+  site.MakeCommands();
+  std::vector<RouteText> routes = kRoutes;
+  for (std::uint16_t port = 10000; port < 11400; ++port) {
+    routes.push_back({port, "safe", "ledger"});
+  }
+  int version = 7;
+  site.store->Put("op/config", Configuration(version, routes));
+  if (!site.Start()) {
+    return kCouldNotRun;
+  }
+  StartFeeds(&site, 4);
+  site.Run(3000);
+  site.store->bytes_per_ms = kLinkBytesPerMs;
+  if (site.trouble) {
+    for (int i = 0; i < kVersions; ++i) {
+      site.store->Put("op/config", Configuration(version += 2, routes));
+      site.Run(kGapMs);
+    }
+  }
+  routes.push_back({kNewPort, "safe", "counter"});
+  const std::string last = Configuration(version += 2, routes);
+  site.store->Put("op/config", last);
+  const double ack = Now();
+  site.record.Write("the operator adds a route; " +
+                    std::to_string(last.size()) + " bytes");
+  std::map<Flow, double> sent;
+  double next = 0;
+  for (const auto& each : site.clients) {
+    each->on_refused = [&](const Flow& flow, const Packet& packet) {
+      if (packet.sum == 0 && sent[flow] - ack > kPropagationMs) {
+        site.record.Broken("CONFIG: " + Text(flow) + ", sent " +
+                           std::to_string(static_cast<int>(sent[flow] - ack)) +
+                           " ms after the ack, is refused");
+      }
+    };
+    each->route = [&, zone = each->zone](const Flow& flow) {
+      sent.try_emplace(flow, Now());
+      return site.Route(zone, flow);
+    };
+  }
+  site.on_turn = [&] {
+    if (Now() >= next) {
+      next = Now() + 50;
+      for (const auto& each : site.clients) {
+        each->Start({kRouteIp, kNewPort}, false);
+      }
+    }
+  };
+  site.Run(9000);
+  return Finish(&site);
+}
+
 // A target falls silent for good; its address goes to a target of another
 // service. The node beside it is replaced as well, or was paused and is still
 // there when it wakes.
@@ -641,11 +700,17 @@
 
 const std::map<std::string, Case>& Cases() {
   static const std::map<std::string, Case> cases = {
-      {"foreign-service", ForeignService}, {"foreign-fields", ForeignFields},
-      {"rolling-agents", RollingAgents},   {"changed-weights", ChangedWeights},
-      {"leaving-target", LeavingTarget},   {"cut-readers", CutReaders},
-      {"reused-address", ReusedAddress},   {"new-route", NewRoute},
-      {"odd-entries", OddEntries},         {"paused-agent", PausedAgent},
+      {"foreign-service", ForeignService},
+      {"foreign-fields", ForeignFields},
+      {"rolling-agents", RollingAgents},
+      {"changed-weights", ChangedWeights},
+      {"leaving-target", LeavingTarget},
+      {"cut-readers", CutReaders},
+      {"reused-address", ReusedAddress},
+      {"new-route", NewRoute},
+      {"odd-entries", OddEntries},
+      {"paused-agent", PausedAgent},
+      {"configuration-storm", ConfigurationStorm},
   };
   return cases;
 }
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -2,6 +2,7 @@
 #ifndef REVIEW_STANDIN_STORE_H_
 #define REVIEW_STANDIN_STORE_H_
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -69,6 +70,9 @@
     }
   }
 
+  // How fast each answer is sent; 0 for no limit.
+  double bytes_per_ms = 0;
+
   // The readers that watched the prefix in the last 1.5 s.
   std::vector<std::size_t> Watchers(const std::string& prefix) const {
     std::vector<std::size_t> watchers;
@@ -123,6 +127,7 @@
     std::uint64_t after;
     double until;
     bool dead;
+    double sent_at = 0;
   };
 
   void Change(const Item& change) {
@@ -235,12 +240,21 @@
         Answer(each, 200, List("events", events));
       }
     }
+    if (each->out.empty()) {
+      each->sent_at = now;
+    }
     while (!each->out.empty()) {
+      std::size_t most = each->out.size();
+      if (bytes_per_ms > 0) {
+        most = std::min(most, static_cast<std::size_t>((now - each->sent_at) *
+                                                       bytes_per_ms));
+      }
       const ssize_t sent =
-          send(each->fd, each->out.data(), each->out.size(), MSG_NOSIGNAL);
+          most == 0 ? 0 : send(each->fd, each->out.data(), most, MSG_NOSIGNAL);
       if (sent <= 0) {
         break;
       }
+      each->sent_at = now;
       each->out.erase(0, static_cast<std::size_t>(sent));
     }
   }
--- a/src/libnet/storereader.cpp
+++ b/src/libnet/storereader.cpp
@@ -161,7 +161,7 @@
                            const StoreAnswer& answer) {
   StoreFollower& follower = part->follower;
   const Revision before = follower.unchanged_since();
-  const bool watched = follower.listed();
+  const bool watched = follower.watches();
   const bool changed = follower.OnAnswer(number, answer, m_clock.Now());
   // Sends only changes from a watch to the peers, not the pages of a listing.
   if (watched && !follower.passive() && !answer.items.empty()) {
--- a/src/libsite/storeanswer.h
+++ b/src/libsite/storeanswer.h
@@ -24,6 +24,9 @@
     kItems,
     /// The store no longer keeps the changes after the revision of the watch.
     kHistoryGone,
+    /// The changes after the revision of the watch take more than the client
+    /// reads in one answer; the items themselves may take less.
+    kTooLarge,
     /// The read was refused, timed out or got a malformed answer; see \ref
     /// problem.
     kFailed,
--- a/src/libsite/storefollower.cpp
+++ b/src/libsite/storefollower.cpp
@@ -43,12 +43,18 @@
     return {};
   }
   m_read_pending = true;
-  m_read_began = now;
+  if (m_pages.empty()) {
+    m_read_began = now;
+  }
   Read read;
   read.number = ++m_read_number;
-  if (!m_listed) {
+  if (!watches()) {
     read.kind = Read::Kind::kList;
-    read.after_key = m_pages.empty() ? std::string() : m_pages.back().key;
+    if (m_pages.empty()) {
+      m_position_before_list = m_position;
+    } else {
+      read.after_key = m_pages.back().key;
+    }
     return read;
   }
   read.kind = Read::Kind::kWatch;
@@ -77,13 +83,20 @@
       m_listed = false;
       m_pages.clear();
       return false;
+    case StoreAnswer::Outcome::kTooLarge:
+      if (!watches()) {
+        OnFailure(now);
+      }
+      m_must_list = true;
+      m_pages.clear();
+      return false;
     case StoreAnswer::Outcome::kItems:
       break;
   }
   m_failures = 0;
   m_last_read = now;
-  const bool changed = m_listed ? OnEvents(answer, now) : OnPage(answer, now);
-  if (m_listed) {
+  const bool changed = watches() ? OnEvents(answer, now) : OnPage(answer, now);
+  if (watches()) {
     m_confirmed_at = now;
     if (m_change_announced <= m_read_began) {
       // The store itself does not have a later change.
@@ -104,15 +117,16 @@
     return false;
   }
   const std::vector<StoreItem> items = std::exchange(m_pages, {});
-  if (m_list_as_of < m_position) {
-    // The listing is older than the changes that are already applied, so it is
-    // discarded and read again.
+  if (m_list_as_of < m_position_before_list) {
+    // The listing is older than the changes that were applied before it, so it
+    // is discarded and read again.
     m_next_read = now + kMinRetryDelay;
     return false;
   }
   m_listed = true;
-  m_position = m_list_as_of;
-  m_unchanged_since = m_list_as_of;
+  m_must_list = false;
+  m_position = std::max(m_position, m_list_as_of);
+  m_unchanged_since = std::max(m_unchanged_since, m_list_as_of);
   return m_state->Replace(m_prefix, items, m_list_as_of, now);
 }
 
--- a/src/libsite/storefollower.h
+++ b/src/libsite/storefollower.h
@@ -83,6 +83,8 @@
   /// concern the processes that follow this one.
   Revision unchanged_since() const { return m_unchanged_since; }
   bool listed() const { return m_listed; }
+  /// Whether the next or pending read is a watch.
+  bool watches() const { return m_listed && !m_must_list; }
 
   const std::string& prefix() const { return m_prefix; }
   /// Last time as of which the state is known to have matched the store, by an
@@ -106,6 +108,8 @@
   SiteState* m_state;
   RandomSource* m_random;
   bool m_listed = false;
+  /// The changes are too many to be read by a watch.
+  bool m_must_list = false;
   bool m_read_pending = false;
   bool m_passive = false;
   /// When this process began to read the store itself.
@@ -128,6 +132,8 @@
   /// Items of the pages received so far of a listing in progress.
   std::vector<StoreItem> m_pages;
   Revision m_list_as_of{};
+  /// The position when that listing began.
+  Revision m_position_before_list{};
 };
 
 }  // namespace fireflytrestle
--- a/tests/libsite/storefollowertest.cpp
+++ b/tests/libsite/storefollowertest.cpp
@@ -190,6 +190,33 @@
   CHECK(reads <= 20);
 }
 
+// Guards against changes that never arrive (CONFIG), because the same watch is
+// repeated although its answer is too large.
+TEST_CASE("changes that are too many for a watch are read by a listing") {
+  Site site;
+  site.AnswerNextRead(Site::Answer({Site::Item("config", "3", 5)}, 5));
+  StoreAnswer too_large;
+  too_large.outcome = StoreAnswer::Outcome::kTooLarge;
+  site.AnswerNextRead(too_large);
+  CHECK(site.follower.IsCurrent(site.clock.Now()));
+  const auto list = site.follower.OnTick(site.clock.Now());
+  REQUIRE(list.kind == StoreFollower::Read::Kind::kList);
+  SUBCASE("and the state moves on meanwhile") {
+    SharedChanges heartbeat;
+    heartbeat.reads_store = true;
+    heartbeat.after = Revision{5};
+    heartbeat.as_of = Revision{60};
+    site.follower.OnSharedChanges(heartbeat, site.clock.Now());
+  }
+  SUBCASE("and nothing else happens") {}
+  site.follower.OnAnswer(list.number,
+                         Site::Answer({Site::Item("config", "9", 50)}, 55),
+                         site.clock.Now());
+  CHECK(site.state.View()->configuration_version == 9);
+  CHECK(site.AnswerNextRead(Site::Answer({}, 70)).kind ==
+        StoreFollower::Read::Kind::kWatch);
+}
+
 // Guards against a missed change that is forgotten (CONFIG) when a reader that
 // lags sends its heartbeat.
 TEST_CASE("a reader that lags does not hide a change that another has") {
