Skip odd entries, count and log them, in every reader of the flow programs

Asked by other operators of such systems: an entry that nests deeply, has a number too large or a port out of range must not end the readers of a list or stop them following it.

JSON of the store is parsed with a bound on nesting; nothing is copied from members of the wrong type. An odd route or service is left out of its configuration, numbers have ranges. store_items_unreadable_total counts items, the reason unreadable_message of flow_decisions_total counts messages; both are logged within the limit of their event. Times are limited when they are written.

Tests: decoder, answers, and both real programs at the start, in a listing and in a watch, with the list followed afterwards.

--- a/src/flowagent/flowagentworker.cpp
+++ b/src/flowagent/flowagentworker.cpp
@@ -67,6 +67,8 @@
       [&](const SocketAddress& source, std::span<const std::uint8_t> datagram) {
         if (const auto message = DecodeNodeMessage(datagram)) {
           m_tracker.OnNodeMessage(source, *message, now);
+        } else {
+          m_output.ReportUnreadable(source);
         }
       };
   std::size_t received = UdpSocket::kBatchDatagrams;
--- a/src/flowbalancer/flowbalancerworker.cpp
+++ b/src/flowbalancer/flowbalancerworker.cpp
@@ -80,6 +80,8 @@
       [&](const SocketAddress& source, std::span<const std::uint8_t> datagram) {
         if (const auto message = DecodeNodeMessage(datagram)) {
           OnNodeMessage(source, *message, now);
+        } else {
+          m_output.ReportUnreadable(source);
         }
       };
   std::size_t received = UdpSocket::kBatchDatagrams;
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -62,8 +62,10 @@
   return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
 }
 
+/// Writes a time within the range that readers accept.
 void WriteTime(MsgpackWriter* writer, std::chrono::milliseconds time) {
-  writer->WriteUint(static_cast<std::uint64_t>(time.count()));
+  const auto count = std::max<std::int64_t>(time.count(), 0);
+  writer->WriteUint(std::min(static_cast<std::uint64_t>(count), kMaxMs));
 }
 
 std::chrono::milliseconds ReadTime(MsgpackReader* reader) {
--- a/src/libnet/storereader.cpp
+++ b/src/libnet/storereader.cpp
@@ -211,8 +211,11 @@
 }
 
 void StoreReader::LogChange(const SiteChange& change) {
+  const bool unreadable = change.kind == SiteChange::Kind::kUnreadable;
+  m_unreadable_items += unreadable ? 1 : 0;
   m_logger->Write(
-      LogLevel::kInfo, EventName(change.kind), change.detail,
+      unreadable ? LogLevel::kWarning : LogLevel::kInfo, EventName(change.kind),
+      change.detail,
       {{LogKey::kSource, change.subject},
        {LogKey::kRevision, static_cast<std::uint64_t>(change.revision)}});
 }
@@ -223,6 +226,10 @@
   metrics->Counter("store_read_failures_total",
                    "Reads of the store without a usable answer",
                    static_cast<double>(m_failures));
+  metrics->Counter("store_items_unreadable_total",
+                   "Items of the store, or parts of a configuration, that "
+                   "were malformed and left out",
+                   static_cast<double>(m_unreadable_items));
   metrics->Gauge("store_reached", "1 while the store answers",
                  m_reached ? 1 : 0);
   const TimePoint now = m_clock.Now();
--- a/src/libnet/storereader.h
+++ b/src/libnet/storereader.h
@@ -90,6 +90,7 @@
   std::vector<std::unique_ptr<Part>> m_parts;
   std::uint64_t m_reads = 0;
   std::uint64_t m_failures = 0;
+  std::uint64_t m_unreadable_items = 0;
   bool m_reached = false;
   QTimer m_timer;
 };
--- a/src/libnet/udpflowoutput.cpp
+++ b/src/libnet/udpflowoutput.cpp
@@ -59,6 +59,14 @@
   m_telemetry->Measure(measurement, time);
 }
 
+void UdpFlowOutput::ReportUnreadable(const SocketAddress& source) {
+  FlowDecision decision;
+  decision.kind = FlowDecision::Kind::kDropped;
+  decision.peer = source;
+  decision.reason = "unreadable_message";
+  m_telemetry->Record(decision);
+}
+
 void UdpFlowOutput::Flush() {
   for (UdpSocket* socket : {m_node, m_upstream}) {
     if (socket != nullptr && socket->queued() > 0) {
--- a/src/libnet/udpflowoutput.h
+++ b/src/libnet/udpflowoutput.h
@@ -45,6 +45,9 @@
   void Report(const FlowDecision& decision) override;
   void Measure(FlowMeasurement measurement, Duration time) override;
 
+  /// Counts and logs a datagram of \p source that is no valid message.
+  void ReportUnreadable(const SocketAddress& source);
+
   /// Sends all queued datagrams.
   void Flush();
 
--- a/src/libsite/siterecord.h
+++ b/src/libsite/siterecord.h
@@ -20,6 +20,8 @@
   std::vector<RouteSettings> routes;
   std::map<std::string, ServiceLimits> services;
   std::chrono::milliseconds flow_idle_timeout{0};
+  /// One text for each route or service that was malformed and left out.
+  std::vector<std::string> problems;
 
   bool operator==(const SiteConfiguration&) const = default;
 };
--- a/src/libsite/sitestate.cpp
+++ b/src/libsite/sitestate.cpp
@@ -124,6 +124,9 @@
                   std::to_string(configuration->version), revision});
       return false;
     }
+    for (const std::string& problem : configuration->problems) {
+      m_listener({Kind::kUnreadable, key, problem, revision});
+    }
     Install(std::move(*configuration), now);
     m_listener({Kind::kConfiguration, std::to_string(m_configuration.version),
                 std::to_string(m_configuration.routes.size()) + " routes",
--- a/tests/libflow/nodemessagecodectest.cpp
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -113,6 +113,16 @@
   CHECK(std::get<AgentStatus>(*numbered).number == status.number);
 }
 
+// Guards against an agent that no balancer hears any more (FLOW), because one
+// of its flows has been in use for longer than a message can state.
+TEST_CASE("a status with a flow that is older than a day is readable") {
+  AgentStatus status;
+  status.oldest_flow = std::chrono::hours(1000);
+  const auto decoded = DecodeNodeMessage(Encode(status));
+  REQUIRE(decoded);
+  CHECK(std::get<AgentStatus>(*decoded).oldest_flow == std::chrono::hours(24));
+}
+
 TEST_CASE("the largest status fits into a datagram") {
   const std::vector<std::uint8_t> bytes = Encode(Status(kMaxFlowsPerStatus));
   REQUIRE(!bytes.empty());
--- a/tests/platform/platformrecorddecodertest.cpp
+++ b/tests/platform/platformrecorddecodertest.cpp
@@ -129,6 +129,88 @@
   CHECK(refused(address));
 }
 
+// Guards against one odd entry that ends the readers of a list, or stops them
+// following it (LOST).
+TEST_CASE("an entry with deep nesting or a number out of range is rejected") {
+  constexpr std::size_t kNesting = 1'000'000;
+  const std::string open(kNesting, '[');
+  const std::string close(kNesting, ']');
+  std::string objects;
+  for (std::size_t i = 0; i < kNesting / 5; ++i) {
+    objects += R"({"a":)";
+  }
+  const auto refused = [](const std::string& value) {
+    std::string problem;
+    return std::holds_alternative<std::monostate>(
+               Decode("servers/x", value, &problem)) &&
+           !problem.empty();
+  };
+  const auto replaced = [](const std::string& from, const std::string& to) {
+    std::string value = kEntry;
+    REQUIRE(value.find(from) != std::string::npos);
+    value.replace(value.find(from), from.size(), to);
+    return value;
+  };
+  CHECK(refused(open));
+  CHECK(refused(open + close));
+  CHECK(refused(objects));
+  CHECK(refused(replaced("\"v1\"", open + close)));
+  CHECK(refused(replaced("\"seq\"", "\"other\":" + open + close + ",\"seq\"")));
+  CHECK(refused(replaced("\"seq\":4", "\"seq\":1e999")));
+  CHECK(refused(replaced("\"seq\":4", "\"seq\":-4")));
+  CHECK(refused(replaced("_limit\":3", "_limit\":99999999999999999999")));
+  CHECK(refused(replaced("_ms\":1200", "_ms\":1e300")));
+  CHECK(refused(replaced("1767225600000", "18446744073709551615")));
+  for (const char* port : {":0", ":65536", ":70000", ":-1", ":", ":8080 "}) {
+    CHECK(refused(replaced(":8080", port)));
+  }
+}
+
+TEST_CASE("an odd route or service is left out of a configuration") {
+  std::string changed = kConfiguration;
+  const auto replace = [&](const std::string& from, const std::string& to) {
+    REQUIRE(changed.find(from) != std::string::npos);
+    changed.replace(changed.find(from), from.size(), to);
+  };
+  SUBCASE("a port out of range") {
+    replace("/8080/", "/70000/");
+  }
+  SUBCASE("no address") {
+    replace("198.18.0.1", "198.18.0");
+  }
+  SUBCASE("no object") {
+    replace("\"routes\":[", "\"routes\":[7,");
+    replace("{\"name\":\"a\",\"host\"", "{\"name\":\"a\",\"hosts\"");
+  }
+  const SiteRecord record = Decode("op/config", changed);
+  const auto* configuration = std::get_if<SiteConfiguration>(&record);
+  REQUIRE(configuration != nullptr);
+  CHECK(configuration->version == 7);
+  REQUIRE(configuration->routes.size() == 1);
+  CHECK(ToString(configuration->routes[0].address) == "198.18.0.1:8443");
+  CHECK_FALSE(configuration->problems.empty());
+}
+
+TEST_CASE("a configuration that nests deeply is rejected as a whole") {
+  const std::string nested =
+      std::string(1'000'000, '[') + std::string(1'000'000, ']');
+  std::string changed = kConfiguration;
+  changed.replace(changed.find("{\"idle"), 0, nested + ",");
+  CHECK(Decode("op/config", changed) == SiteRecord());
+}
+
+TEST_CASE("an answer of the store that nests deeply is no valid answer") {
+  const std::string nested =
+      std::string(1'000'000, '[') + std::string(1'000'000, ']');
+  for (const std::string& body :
+       {nested, R"({"items":)" + nested + R"(,"as_of":5})",
+        R"({"items":[{"key":"a","revision":4,"removed":)" + nested +
+            R"(}],"as_of":5})"}) {
+    CHECK(StoreHttpClient::ReadBody(QByteArray::fromStdString(body), false)
+              .outcome == StoreAnswer::Outcome::kFailed);
+  }
+}
+
 TEST_CASE("the body of an answer from the store is parsed") {
   const StoreAnswer list = StoreHttpClient::ReadBody(
       R"({"items":[{"key":"a","value":"bm9kZS0x","revision":4}],)"
--- a/tests/programs/flowprogramstest.cpp
+++ b/tests/programs/flowprogramstest.cpp
@@ -61,6 +61,13 @@
     m_socket->Flush();
   }
 
+  void SendBytes(const SocketAddress& to,
+                 const std::vector<std::uint8_t>& bytes) {
+    std::copy(bytes.begin(), bytes.end(), m_socket->NextBuffer().begin());
+    m_socket->Queue(to, bytes.size());
+    m_socket->Flush();
+  }
+
   std::vector<FlowPacket> Receive() {
     std::vector<FlowPacket> packets;
     m_socket->Receive(
@@ -85,7 +92,12 @@
 /// on loopback.
 class LoopbackSite {
  public:
-  LoopbackSite() {
+  /// \p prepare is called before the processes start.
+  explicit LoopbackSite(
+      const std::function<void(LoopbackSite*)>& prepare = {}) {
+    if (prepare) {
+      prepare(this);
+    }
     store.Put("op/config",
               R"({"version":3,"routes":[{"name":"r","host":"198.18.0.1",)"
               R"("prefix":"/443/","kind":"safe","timeout_ms":800,)"
@@ -113,13 +125,37 @@
     }
   }
 
+  static std::string MakeEntry(const std::string& state) {
+    return R"({"service":"counter","address":")" +
+           FormatAddress(kAgentAddress, kUpstreamPort).toStdString() +
+           R"(","zone":"a","version":"v1","concurrency_limit":3,"state":")" +
+           state + R"(","cold_left_ms":0,"seq":1})";
+  }
+
   void PutUpstream(const std::string& state) {
-    store.Put("servers/i-1",
-              R"({"service":"counter","address":")" +
-                  FormatAddress(kAgentAddress, kUpstreamPort).toStdString() +
-                  R"(","zone":"a","version":"v1","concurrency_limit":3,)"
-                  R"("state":")" +
-                  state + R"(","cold_left_ms":0,"seq":1})");
+    store.Put("servers/i-1", MakeEntry(state));
+  }
+
+  /// Returns the value of a metric of the process, given with its labels; -1 if
+  /// it has none.
+  static double Metric(const char* address, const QByteArray& name) {
+    QTcpSocket socket;
+    socket.connectToHost(address, kAdminPort);
+    if (!socket.waitForConnected(100)) {
+      return -1;
+    }
+    socket.write("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    QByteArray answer;
+    while (socket.waitForReadyRead(1000)) {
+      answer += socket.readAll();
+    }
+    for (const QByteArray& line : answer.split('\n')) {
+      const qsizetype at = line.indexOf(name + " ");
+      if (at >= 0 && !line.startsWith("#")) {
+        return line.mid(at + name.size() + 1).trimmed().toDouble();
+      }
+    }
+    return -1;
   }
 
   void StartAgent() {
@@ -289,6 +325,69 @@
   }
 }
 
+// Guards against one odd entry or message that ends a process, or after which
+// it no longer follows the store (LOST).
+TEST_CASE("Odd entries and messages are counted and skipped by both programs") {
+  constexpr std::size_t kNesting = 300'000;
+  const auto put_odd_items = [&](LoopbackSite* site, const std::string& name) {
+    const std::string entry = site->MakeEntry("ready");
+    const auto replaced = [&](const std::string& from, const std::string& to) {
+      std::string value = entry;
+      value.replace(value.find(from), from.size(), to);
+      return value;
+    };
+    const std::string nested =
+        std::string(kNesting, '[') + std::string(kNesting, ']');
+    site->store.Put("servers/a-" + name, std::string(kNesting, '['));
+    site->store.Put("servers/b-" + name, replaced("\"v1\"", nested));
+    site->store.Put("servers/c-" + name,
+                    replaced("\"seq\":1", "\"seq\":1e999"));
+    site->store.Put("servers/d-" + name, replaced(":21873", ":70000"));
+    site->store.Put("op/other-" + name, nested);
+  };
+  LoopbackSite site([&](LoopbackSite* before) { put_odd_items(before, "x"); });
+  CHECK(LoopbackSite::Metric(kBalancerAddress,
+                             "store_items_unreadable_total") == 4);
+  REQUIRE(site.Open());
+  put_odd_items(&site, "y");
+  CHECK(RunUntil([] {
+    return LoopbackSite::Metric(kBalancerAddress,
+                                "store_items_unreadable_total") == 8;
+  }));
+  const std::vector<std::vector<std::uint8_t>> messages = {
+      std::vector<std::uint8_t>(1400, 0x91),
+      std::vector<std::uint8_t>(1400, 0xdd),
+      {0x93, 7, 0xc4, 1, 'a', 0xcf, 255, 255, 255, 255, 255, 255, 255, 255}};
+  for (const auto& message : messages) {
+    site.caller.SendBytes(Address(kBalancerAddress, kNodePort), message);
+    site.caller.SendBytes(Address(kAgentAddress, kPacketPort), message);
+  }
+  for (const char* address : {kBalancerAddress, kAgentAddress}) {
+    CHECK(RunUntil([&] {
+      return LoopbackSite::Metric(address,
+                                  "flow_decisions_total{decision=\"packet_"
+                                  "dropped\",reason=\"unreadable_message\"}") ==
+             static_cast<double>(messages.size());
+    }));
+  }
+  // The flow goes on, and the list is still followed.
+  CHECK(site.Request(1));
+  site.PutUpstream("draining");
+  std::uint32_t sequence = 1000;
+  CHECK(RunUntil([&] {
+    FlowPacket syn;
+    syn.syn = true;
+    syn.sequence = ++sequence;
+    bool refused = false;
+    return site.Exchange(syn, [&](const FlowPacket& answer) {
+      refused = IsReset(answer);
+      return true;
+    }) && refused;
+  }));
+  CHECK(site.balancer.state() == QProcess::Running);
+  CHECK(site.agent->state() == QProcess::Running);
+}
+
 TEST_CASE("Flow programs survive SIGHUP and exit with code 0 on SIGTERM") {
   LoopbackSite site;
   for (QProcess* process : {site.agent.get(), &site.balancer}) {
