Count and log the entries of an instance list that are skipped

The caller protocol's programs skipped an entry of the instance list that they could not read without a trace. document_unreadable_entries has the number for the revision in effect, and entries_unreadable is logged when a list with such entries is installed.

The test of skipped entries now has ones that nest a million deep, have a number too large or a port out of range.

--- a/src/libconfig/instancerecord.cpp
+++ b/src/libconfig/instancerecord.cpp
@@ -77,12 +77,15 @@
 
 }  // namespace
 
-std::vector<InstanceRecord> ReadInstances(const VersionedDocument& document) {
+std::vector<InstanceRecord> ReadInstances(const VersionedDocument& document,
+                                          std::size_t* unreadable) {
   std::vector<InstanceRecord> records;
   records.reserve(document.entries.size());
   for (const auto& [key, text] : document.entries) {
     if (std::optional<InstanceRecord> record = ReadRecord(key, text)) {
       records.push_back(std::move(*record));
+    } else if (unreadable != nullptr) {
+      ++*unreadable;
     }
   }
   std::ranges::sort(records, {}, &InstanceRecord::id);
--- a/src/libconfig/instancerecord.h
+++ b/src/libconfig/instancerecord.h
@@ -28,9 +28,10 @@
   bool operator==(const InstanceRecord&) const = default;
 };
 
-/// Decodes the entries "instance/<id>" of the instance list and skips entries
-/// that cannot be decoded.
-std::vector<InstanceRecord> ReadInstances(const VersionedDocument& document);
+/// Decodes the entries "instance/<id>" of the instance list. Skips entries that
+/// cannot be decoded and adds their number to \p unreadable unless it is null.
+std::vector<InstanceRecord> ReadInstances(const VersionedDocument& document,
+                                          std::size_t* unreadable = nullptr);
 
 /// Returns the key and JSON text of one record.
 std::pair<std::string, std::string> ToEntry(const InstanceRecord& record);
--- a/src/libmesh/meshnode.cpp
+++ b/src/libmesh/meshnode.cpp
@@ -502,6 +502,10 @@
   return m_private->view().instances();
 }
 
+std::size_t MeshNode::unreadable_instances() const {
+  return m_private->view().unreadable_instances();
+}
+
 ViewVersion MeshNode::version() const {
   return m_private->view().version();
 }
--- a/src/libmesh/meshnode.h
+++ b/src/libmesh/meshnode.h
@@ -63,6 +63,8 @@
   const Configuration& configuration() const;
 
   const std::vector<InstanceRecord>& instances() const;
+  /// Number of entries of the instance list that were skipped.
+  std::size_t unreadable_instances() const;
 
   ViewVersion version() const;
 
--- a/src/libmesh/meshview.cpp
+++ b/src/libmesh/meshview.cpp
@@ -30,7 +30,9 @@
   if (kind == DocumentKind::kConfiguration) {
     m_configuration = std::exchange(m_validated_configuration, {});
   } else {
-    m_instances = ReadInstances(m_instance_store.document());
+    m_unreadable_instances = 0;
+    m_instances =
+        ReadInstances(m_instance_store.document(), &m_unreadable_instances);
   }
 }
 
--- a/src/libmesh/meshview.h
+++ b/src/libmesh/meshview.h
@@ -36,6 +36,8 @@
   ViewVersion version() const;
   const Configuration& configuration() const { return m_configuration; }
   const std::vector<InstanceRecord>& instances() const { return m_instances; }
+  /// Number of entries of the instance list that were skipped.
+  std::size_t unreadable_instances() const { return m_unreadable_instances; }
 
  private:
   void OnDocumentInstalled(DocumentKind kind);
@@ -45,6 +47,7 @@
   Configuration m_validated_configuration;
   Configuration m_configuration;
   std::vector<InstanceRecord> m_instances;
+  std::size_t m_unreadable_instances = 0;
   DocumentStore m_configuration_store;
   DocumentStore m_instance_store;
 };
--- a/src/libnet/meshdriver.cpp
+++ b/src/libnet/meshdriver.cpp
@@ -103,6 +103,15 @@
                   "installed a newer revision of the document",
                   {{LogKey::kDocument, DocumentName(action.kind)},
                    {LogKey::kRevision, static_cast<std::uint64_t>(revision)}});
+  if (!configuration) {
+    status.unreadable_entries = m_node.unreadable_instances();
+  }
+  if (status.unreadable_entries > 0) {
+    m_logger->Write(LogLevel::kWarning, "entries_unreadable",
+                    std::to_string(status.unreadable_entries) +
+                        " malformed entries of the document were skipped",
+                    {{LogKey::kDocument, DocumentName(action.kind)}});
+  }
   m_callbacks.installed(action.kind);
 }
 
--- a/src/libnet/meshstatus.h
+++ b/src/libnet/meshstatus.h
@@ -34,6 +34,8 @@
   /// Newer documents that were rejected as invalid; the last valid one stays in
   /// effect.
   std::uint64_t rejects = 0;
+  /// Malformed entries of the present document, which were skipped.
+  std::size_t unreadable_entries = 0;
   /// Reads of the platform by this process, by PlatformReadResult::Outcome.
   std::array<std::uint64_t, kReadOutcomeCount> reads{};
 };
--- a/src/libnet/processreport.cpp
+++ b/src/libnet/processreport.cpp
@@ -45,6 +45,11 @@
                    "Newer revisions that are not valid and were not accepted",
                    static_cast<double>(status.rejects),
                    {{"document", document}});
+  metrics->Gauge("document_unreadable_entries",
+                 "Malformed entries of the revision in effect, which are not "
+                 "used",
+                 static_cast<double>(status.unreadable_entries),
+                 {{"document", document}});
   for (std::size_t i = 0; i < kOutcomeNames.size(); ++i) {
     metrics->Counter("platform_reads_total",
                      "Own reads of the platform by outcome",
--- a/tests/libconfig/configurationcodectest.cpp
+++ b/tests/libconfig/configurationcodectest.cpp
@@ -193,7 +193,20 @@
         text;
   }
   document.entries["instance/x"] = ToEntry(agent).second;
-  CHECK(ReadInstances(document) == std::vector{agent, balancer});
+  // Guards against one odd entry that ends the readers of the list (LOST).
+  const std::string nested =
+      std::string(1'000'000, '[') + std::string(1'000'000, ']');
+  document.entries["instance/80"] = nested;
+  document.entries["instance/81"] =
+      R"({"region":"r","zone":"z","leaving":)" + nested + R"(,"target":1})";
+  document.entries["instance/82"] =
+      R"({"region":"r","zone":"z","target":1e999})";
+  document.entries["instance/83"] =
+      R"({"region":"r","zone":"z","mesh_address":"1.2.3.4:70000"})";
+  document.entries["instance/99999999999999999999"] = ToEntry(agent).second;
+  std::size_t unreadable = 0;
+  CHECK(ReadInstances(document, &unreadable) == std::vector{agent, balancer});
+  CHECK(unreadable == document.entries.size() - 2);
 }
 
 }  // namespace fireflytrestle
