Tell agents of their entry only once the limits of its service are known

A cold upstream got all flows at once (FAILBACK) when a balancer had its entry before the configuration: the heartbeat named no rate, and the agent kept that for the revision of the entry. Found by the review, by reading. The heartbeat now leaves the entry out until there is a configuration.

--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -43,6 +43,7 @@
   if (entry == nullptr) {
     return;
   }
+  m_is_configured = view.configuration_version != 0;
   m_listed_service = entry->service;
   m_zone = entry->zone;
   m_draining = entry->draining;
@@ -157,7 +158,7 @@
   if (!IsInStore()) {
     heartbeat.new_balancers = new_balancers;
   }
-  if (!m_listed) {
+  if (!m_listed || !m_is_configured) {
     return heartbeat;
   }
   heartbeat.entry_revision = m_entry_revision;
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -88,7 +88,8 @@
   bool IsCold(TimePoint now) const { return now < m_cold_until; }
 
   /// Returns the heartbeat for the agent: its upstream's entry in the view, and
-  /// \p new_balancers if the store has no entry.
+  /// \p new_balancers if the store has no entry. Before the first configuration
+  /// the entry is left out, because the limits of its service are not known.
   BalancerHeartbeat MakeHeartbeat(
       Incarnation balancer,
       const std::vector<SocketAddress>& new_balancers,
@@ -128,6 +129,8 @@
   std::string m_listed_service;
   bool m_listed = false;
   TimePoint m_last_listed{};
+  /// The view has a configuration, and with it the limits of the service.
+  bool m_is_configured = false;
   bool m_draining = false;
   bool m_zone_out = false;
   bool m_missing = false;
--- a/tests/libflow/viewtest.cpp
+++ b/tests/libflow/viewtest.cpp
@@ -190,6 +190,35 @@
   CHECK(site.Decisions("flow_reset no_route") == 1);
 }
 
+// Guards against a cold upstream that gets all flows at once (FAILBACK),
+// because its entry arrived before the configuration with its rate.
+TEST_CASE("the rate of a cold upstream holds if its entry is known first") {
+  constexpr std::size_t kRate = 10;
+  FlowSite site(1, 1);
+  FlowSite::Agent* cold = site.agents[0].get();
+  cold->entry.cold_left = milliseconds(5000);
+  site.BumpRevision(cold);
+  const auto routes = std::exchange(site.view.routes, {});
+  site.view.configuration_version = 0;
+  site.StartBalancer(0);
+  site.StartAgent(0);
+  site.Publish();
+  site.Run(milliseconds(500));
+  site.view.routes = routes;
+  site.view.services["counter"].cold_rate = kRate;
+  site.view.configuration_version = 2;
+  site.Publish();
+  for (std::uint32_t caller = 1; caller <= 100; ++caller) {
+    site.Open(0, FlowSite::Tuple(caller));
+    site.Run(milliseconds(20));
+  }
+  const auto& opened = cold->upstream->opened;
+  REQUIRE(opened.size() > kRate);
+  for (std::size_t i = 0; i + kRate < opened.size(); ++i) {
+    CHECK(opened[i + kRate] - opened[i] >= std::chrono::seconds(1));
+  }
+}
+
 TEST_CASE("a cold upstream gets flows at no more than its configured rate") {
   constexpr std::size_t kRate = 10;
   FlowSite site(4, 2);
