Soak: large services, planned stops in series, reused addresses, odd entries

Every stable balancer must have a configuration in effect 3 s after it was published. A process is started again when the one that stops has ended, however long that takes: before, one that took long stayed away, and its flows were rightly reset 6 s later.

--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -12,14 +12,20 @@
 constexpr char kUnavailable[] =
     "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n";
 
-/// Returns a numeric query parameter of a request line; 0 if it is missing.
-std::uint64_t QueryParameter(const QByteArray& line, const QByteArray& name) {
+/// Returns a query parameter of a request line; empty if it is missing.
+QByteArray TextParameter(const QByteArray& line, const QByteArray& name) {
   const auto begin = line.indexOf(name + "=");
   if (begin < 0) {
-    return 0;
+    return {};
   }
   const QByteArray value = line.mid(begin + name.size() + 1);
-  return value.split('&').front().split(' ').front().toULongLong();
+  return QByteArray::fromPercentEncoding(
+      value.split('&').front().split(' ').front());
+}
+
+/// Returns a numeric query parameter of a request line; 0 if it is missing.
+std::uint64_t QueryParameter(const QByteArray& line, const QByteArray& name) {
+  return TextParameter(line, name).toULongLong();
 }
 
 }  // namespace
@@ -72,6 +78,16 @@
   }
 }
 
+std::set<std::size_t> FakeStore::Watchers(const QByteArray& prefix) const {
+  std::set<std::size_t> watchers;
+  for (const auto& [socket, watch] : m_watches) {
+    if (watch.prefix == prefix) {
+      watchers.insert(watch.reader);
+    }
+  }
+  return watchers;
+}
+
 void FakeStore::OnRequest(std::size_t reader, QTcpSocket* socket) {
   const QByteArray line = socket->readAll().split('\r').front();
   switch (m_readers[reader]->fault) {
@@ -96,7 +112,7 @@
     socket->write(kGone);
     return;
   }
-  m_watches[socket] = {reader, after};
+  m_watches[socket] = {reader, after, TextParameter(line, "prefix")};
   const int wait_ms = static_cast<int>(QueryParameter(line, "wait_ms"));
   QTimer::singleShot(wait_ms, socket, [this, socket, reader, after] {
     const auto watch = m_watches.find(socket);
--- a/tests/fakes/fakestore.h
+++ b/tests/fakes/fakestore.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   void SetFault(std::size_t reader, Fault fault);
+  /// Returns the readers whose watches of items under \p prefix wait now.
+  std::set<std::size_t> Watchers(const QByteArray& prefix) const;
   /// Discards the change history: a watch that starts at an older revision gets
   /// status 410 and its reader must list the items again.
   void DropHistory() { m_oldest_revision = m_revision; }
@@ -70,6 +73,7 @@
   struct Watch {
     std::size_t reader = 0;
     std::uint64_t after = 0;
+    QByteArray prefix;
   };
 
   std::uint64_t m_revision = 0;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,6 +10,11 @@
 namespace fireflytrestle {
 namespace {
 
+/// Load of extended runs: flows at each upstream, and orders that wait at any
+/// agent that is paused.
+constexpr std::size_t kFeedsPerAgent = 4;
+constexpr int kExtendedOrdersPerSecond = 200;
+
 struct Options {
   char* programs = nullptr;
   char* work = nullptr;
@@ -19,6 +24,7 @@
   int balancers = 3;
   int agents = 5;
   int network = 30;
+  int extended = 0;
 };
 
 /// Returns whether the site became ready and no invariant was violated.
@@ -29,13 +35,20 @@
   SoakSite::Size size;
   size.balancers = static_cast<std::size_t>(options.balancers);
   size.agents = static_cast<std::size_t>(options.agents);
+  if (options.extended != 0) {
+    size.has_idle_feeds = true;
+    size.feeds = kFeedsPerAgent * size.agents;
+    size.orders_per_second = kExtendedOrdersPerSecond;
+  }
   SoakSite site(size, seed, options.network, options.programs, logs);
   if (!site.Start()) {
     std::printf("seed %llu: the site did not become ready; see %s\n",
                 static_cast<unsigned long long>(seed), qPrintable(logs));
     return false;
   }
-  SoakRun run(&site, seed);
+  SoakRun run(&site, seed,
+              options.extended != 0 ? SoakRun::Faults::kExtended
+                                    : SoakRun::Faults::kBasic);
   run.Run(std::chrono::seconds(options.seconds));
   std::printf("seed %llu: %s, violations %zu\n",
               static_cast<unsigned long long>(seed), site.Summary().c_str(),
@@ -67,6 +80,10 @@
        "agents and upstreams, 2 to 150", "N"},
       {"network", 0, POPT_ARG_INT, &options.network, 0,
        "second byte of all addresses, 2 to 250", "N"},
+      {"extended", 0, POPT_ARG_NONE, &options.extended, 0,
+       "also stop processes in series, reuse addresses, write odd entries and "
+       "cut off two readers of the store",
+       nullptr},
       {"programs", 0, POPT_ARG_STRING, &options.programs, 0,
        "folder of the programs", "FOLDER"},
       {"work", 0, POPT_ARG_STRING, &options.work, 0, "folder for logs",
--- a/tests/soak/soakcallers.cpp
+++ b/tests/soak/soakcallers.cpp
@@ -20,6 +20,9 @@
 constexpr milliseconds kMinPause{50};
 constexpr milliseconds kPauseAfterFailure{300};
 constexpr std::uint64_t kPauseJitterMs = 300;
+/// Flows may be idle for 15 s.
+constexpr milliseconds kMinIdleTime{4000};
+constexpr std::uint64_t kIdleJitterMs = 9000;
 constexpr std::uint32_t kFirstPort = 1025;
 constexpr std::uint32_t kPortCount = 60000;
 
@@ -186,8 +189,10 @@
     } else if (flow.awaits_answer && payload == flow.payload) {
       ++m_counts.answered;
       flow.awaits_answer = false;
+      const bool idle = m_has_idle_feeds && m_random.Below(2) == 0;
       flow.next_send =
-          now + kMinPause + milliseconds(m_random.Below(kPauseJitterMs));
+          now + (idle ? kMinIdleTime : kMinPause) +
+          milliseconds(m_random.Below(idle ? kIdleJitterMs : kPauseJitterMs));
       if (!flow.route.feed) {
         FlowPacket fin;
         fin.fin = true;
--- a/tests/soak/soakcallers.h
+++ b/tests/soak/soakcallers.h
@@ -53,6 +53,8 @@
   bool AreBound() const;
   void Start(const Route& route, TimePoint now);
   void Run(TimePoint now);
+  /// Lets half of the feeds be idle for seconds after each answer.
+  void SetIdleFeeds(bool idle) { m_has_idle_feeds = idle; }
 
   const Counts& counts() const { return m_counts; }
 
@@ -90,6 +92,7 @@
   std::unordered_map<FlowTuple, Flow, FlowTupleHash> m_flows;
   /// Feeds without a flow, and when each starts again.
   std::vector<std::pair<TimePoint, Route>> m_paused_feeds;
+  bool m_has_idle_feeds = false;
   Counts m_counts;
 };
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -11,7 +11,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kOrdersPerSecond = 40;
 constexpr milliseconds kStepTime{50};
 /// Time between the end of all faults and the final check, for processes to
 /// start and become stable.
@@ -23,7 +22,7 @@
   m_begin = m_site->Now();
   TimePoint next_fault = m_begin + std::chrono::seconds(1);
   while (m_site->Now() - m_begin < time) {
-    m_site->Run(kStepTime, kOrdersPerSecond);
+    m_site->Run(kStepTime);
     const TimePoint now = m_site->Now();
     std::vector<ScheduledAction> due;
     std::erase_if(m_scheduled_actions, [&](const ScheduledAction& each) {
@@ -46,11 +45,93 @@
   m_scheduled_actions.clear();
   RecordEvent("all faults end");
   m_site->EndAllFaults();
-  m_site->Run(kSettleTime, kOrdersPerSecond);
+  m_site->Run(kSettleTime);
   m_site->CheckServesNewFlows();
 }
 
+void SoakRun::CauseExtendedFault() {
+  switch (Draw(4)) {
+    case 0:
+      RollProcesses();
+      break;
+    case 1:
+      ReuseAddress();
+      break;
+    case 2: {
+      const std::uint64_t kind = Draw(6);
+      RecordEvent("odd entry, kind " + std::to_string(kind));
+      m_site->PutOddEntry(Draw(m_site->instances() - m_site->balancers()),
+                          kind);
+      break;
+    }
+    default:
+      CutReaders();
+  }
+}
+
+void SoakRun::RollProcesses() {
+  const bool agents = Draw(2) == 0;
+  const std::size_t first = agents ? m_site->balancers() : 0;
+  const std::size_t count =
+      agents ? m_site->instances() - m_site->balancers() : m_site->balancers();
+  const std::size_t stopped = 1 + Draw((count + 2) / 3);
+  const milliseconds gap = DrawTime(100, 1300);
+  const std::size_t begin = Draw(count);
+  for (std::size_t i = 0; i < stopped; ++i) {
+    RunAfter(gap * static_cast<int>(i),
+             [this, instance = first + (begin + i) % count] {
+               EndProcess(instance, SIGTERM, DrawTime(100, 1500));
+             });
+  }
+}
+
+void SoakRun::ReuseAddress() {
+  const std::size_t agent = Draw(m_site->instances() - m_site->balancers());
+  const std::size_t instance = m_site->balancers() + agent;
+  if (!m_site->EndUpstream(agent)) {
+    return;
+  }
+  const bool paused = Draw(2) == 0;
+  RecordEvent("upstream " + std::to_string(agent) + " ends, its agent is " +
+              (paused ? "paused" : "killed"));
+  m_site->Signal(instance, paused ? SIGSTOP : SIGKILL);
+  RunAfter(SoakSite::kReuseAfter, [this, agent, instance, paused] {
+    RecordEvent("its address is used again");
+    m_site->ReuseAddress(agent);
+    if (paused) {
+      m_site->Signal(instance, SIGCONT);
+    }
+    // The agent of the new upstream replaces the one before.
+    RunAfter(milliseconds(paused ? 300 : 0), [this, instance] {
+      m_site->Signal(instance, SIGKILL);
+      RunAfter(2 * kStepTime,
+               [this, instance] { m_site->StartProcess(instance); });
+    });
+  });
+}
+
+void SoakRun::CutReaders() {
+  const std::set<std::size_t> readers = m_site->StoreReaders();
+  if (readers.size() == m_site->balancers()) {
+    return;
+  }
+  RecordEvent("the readers of the store are cut off from it during a change");
+  for (const std::size_t reader : readers) {
+    m_site->SetStoreFault(reader, FakeStore::Fault::kNoResponse);
+  }
+  m_site->PublishConfiguration();
+  RunAfter(DrawTime(3000, 5000), [this, readers] {
+    for (const std::size_t reader : readers) {
+      m_site->SetStoreFault(reader, FakeStore::Fault::kNone);
+    }
+  });
+}
+
 void SoakRun::CauseFault() {
+  if (m_faults == Faults::kExtended && Draw(2) == 0) {
+    CauseExtendedFault();
+    return;
+  }
   const std::size_t instance = Draw(m_site->instances());
   switch (Draw(9)) {
     case 0:
@@ -84,14 +165,16 @@
   RecordEvent((signal == SIGKILL ? "kill " : "stop ") +
               std::to_string(instance));
   m_site->Signal(instance, signal);
-  // StartProcess() has no effect while the process is still stopping, so it is
-  // called once more one step later.
-  RunAfter(down, [this, instance] {
-    if (m_site->IsRunning(instance)) {
-      RunAfter(kStepTime, [this, instance] { m_site->StartProcess(instance); });
-    }
-    m_site->StartProcess(instance);
-  });
+  RunAfter(down, [this, instance] { RestartWhenStopped(instance); });
+}
+
+void SoakRun::RestartWhenStopped(std::size_t instance) {
+  // A paused process stops only after its pause.
+  if (m_site->IsStopping(instance)) {
+    RunAfter(kStepTime, [this, instance] { RestartWhenStopped(instance); });
+    return;
+  }
+  m_site->StartProcess(instance);
 }
 
 void SoakRun::Pause(std::size_t instance) {
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -17,8 +17,16 @@
 /// overlapping, and ends all of them before the final check.
 class SoakRun {
  public:
+  enum class Faults {
+    kBasic,
+    /// Also series of planned stops, reused addresses, odd entries, and cuts of
+    /// two readers of the store at the moment of a change.
+    kExtended,
+  };
+
   /// \p site must outlive the run.
-  SoakRun(SoakSite* site, std::uint64_t seed) : m_site(site), m_random(seed) {}
+  SoakRun(SoakSite* site, std::uint64_t seed, Faults faults)
+      : m_site(site), m_random(seed), m_faults(faults) {}
 
   void Run(std::chrono::milliseconds time);
 
@@ -32,9 +40,18 @@
   };
 
   void CauseFault();
+  void CauseExtendedFault();
+  /// Stops and starts several processes of one kind in turn, as planned.
+  void RollProcesses();
+  /// An upstream ends and its address goes to another service, while the agent
+  /// is paused or down.
+  void ReuseAddress();
+  void CutReaders();
   void EndProcess(std::size_t instance,
                   int signal,
                   std::chrono::milliseconds down);
+  /// Starts the process once the one that stops has ended.
+  void RestartWhenStopped(std::size_t instance);
   void Pause(std::size_t instance);
   void ImpairLink(std::size_t instance);
   void ImpairStore();
@@ -48,6 +65,7 @@
 
   SoakSite* m_site;
   SeededRandom m_random;
+  Faults m_faults;
   TimePoint m_begin{};
   std::vector<ScheduledAction> m_scheduled_actions;
   std::vector<std::string> m_history;
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -4,6 +4,7 @@
 #include <QEventLoop>
 #include <QTcpSocket>
 #include <QTimer>
+#include <algorithm>
 #include <csignal>
 
 namespace fireflytrestle {
@@ -29,6 +30,10 @@
 constexpr std::uint32_t kRouteAddress = 0xC6120001;
 constexpr std::uint16_t kFeedPort = 443;
 constexpr std::uint16_t kOrderPort = 8080;
+constexpr std::uint16_t kIdleRoutes = 30;
+constexpr std::uint16_t kFirstIdlePort = 10000;
+/// A service keeps more upstreams than this.
+constexpr std::ptrdiff_t kMinUpstreams = 2;
 constexpr milliseconds kReadyTimeout{10000};
 constexpr milliseconds kProbeInterval{500};
 constexpr milliseconds kReadyAnswerTimeout{300};
@@ -160,6 +165,7 @@
   while (!all_ready() && Now() - begin < kReadyTimeout) {
     Step();
   }
+  m_callers->SetIdleFeeds(m_size.has_idle_feeds);
   for (std::size_t feed = 0; feed < m_size.feeds; ++feed) {
     m_callers->Start(m_routes[feed % 4 == 0 ? 2 : 0], Now());
   }
@@ -232,11 +238,17 @@
 
 void SoakSite::SetStoreFault(std::size_t balancer, FakeStore::Fault fault) {
   m_store.SetFault(balancer, fault);
-  m_store_last_fault = Now();
+  const bool failed_for_all = m_store_faults.size() == m_size.balancers;
   if (fault == FakeStore::Fault::kNone) {
-    m_store_faults.erase(balancer);
+    if (m_store_faults.erase(balancer) > 0) {
+      MarkFaulty(balancer);
+    }
   } else {
     m_store_faults.insert(balancer);
+    MarkFaulty(balancer);
+  }
+  if (failed_for_all || m_store_faults.size() == m_size.balancers) {
+    m_store_last_fault = Now();
   }
 }
 
@@ -252,6 +264,65 @@
   PutUpstreamEntry(agent);
 }
 
+bool SoakSite::EndUpstream(std::size_t agent) {
+  Upstream& ended = m_upstreams[agent];
+  const auto left = std::count_if(
+      m_upstreams.begin(), m_upstreams.end(), [&](const Upstream& each) {
+        return !each.ended && each.service == ended.service;
+      });
+  if (ended.ended || left <= kMinUpstreams) {
+    return false;
+  }
+  ended.ended = true;
+  ended.upstream->SetDown(true);
+  ended.listener->close();
+  MarkFaulty(m_size.balancers + agent);
+  m_store.Remove("servers/i-" + std::to_string(agent));
+  return true;
+}
+
+void SoakSite::ReuseAddress(std::size_t agent) {
+  Upstream& upstream = m_upstreams[agent];
+  upstream.ended = false;
+  upstream.draining = false;
+  upstream.service = 1 - upstream.service;
+  ++upstream.incarnation;
+  upstream.upstream->SetDown(false);
+  upstream.listener->listen(QHostAddress(MakeAddress(kAgents, agent, 1).ipv4),
+                            kUpstreamPort);
+  MarkFaulty(m_size.balancers + agent);
+  PutUpstreamEntry(agent);
+}
+
+void SoakSite::PutOddEntry(std::size_t agent, std::uint64_t kind) {
+  constexpr std::size_t kNesting = 100'000;
+  std::string entry = MakeEntry(agent);
+  const auto replace = [&](const std::string& from, const std::string& to) {
+    entry.replace(entry.find(from), from.size(), to);
+  };
+  switch (kind) {
+    case 0:
+      entry = std::string(kNesting, '[');
+      break;
+    case 1:
+      replace("\"v1\"",
+              std::string(kNesting, '[') + std::string(kNesting, ']'));
+      break;
+    case 2:
+      replace("\"seq\":1", "\"seq\":1e999");
+      break;
+    case 3:
+      replace(":" + std::to_string(kUpstreamPort), ":70000");
+      break;
+    case 4:
+      replace("\"version\":\"v1\",", "");
+      break;
+    default:
+      replace("\"service\":\"s", "\"service\":\"old-s");
+  }
+  m_store.Put("servers/odd-" + std::to_string(++m_odd_entries), entry);
+}
+
 void SoakSite::SetDraining(std::size_t agent, bool draining) {
   m_upstreams[agent].draining = draining;
   m_upstreams[agent].draining_since = Now();
@@ -266,17 +337,22 @@
 }
 
 void SoakSite::PutUpstreamEntry(std::size_t agent) {
+  if (!m_upstreams[agent].ended) {
+    m_store.Put("servers/i-" + std::to_string(agent), MakeEntry(agent));
+  }
+}
+
+std::string SoakSite::MakeEntry(std::size_t agent) const {
   const Upstream& upstream = m_upstreams[agent];
   const Instance& instance = m_instances[m_size.balancers + agent];
-  m_store.Put("servers/i-" + std::to_string(agent),
-              R"({"service":"s)" + std::to_string(upstream.service) +
-                  R"(","address":")" +
-                  ToString({instance.proxy_address.ipv4, kUpstreamPort}) +
-                  R"(","zone":")" + instance.zone +
-                  R"(","version":"v1","concurrency_limit":3,"born":)" +
-                  std::to_string(upstream.incarnation) + R"(,"state":")" +
-                  (upstream.draining ? "draining" : "ready") +
-                  R"(","cold_left_ms":0,"seq":1})");
+  return R"({"service":"s)" + std::to_string(upstream.service) +
+         R"(","address":")" +
+         ToString({instance.proxy_address.ipv4, kUpstreamPort}) +
+         R"(","zone":")" + instance.zone +
+         R"(","version":"v1","concurrency_limit":3,"born":)" +
+         std::to_string(upstream.incarnation) + R"(,"state":")" +
+         (upstream.draining ? "draining" : "ready") +
+         R"(","cold_left_ms":0,"seq":1})";
 }
 
 void SoakSite::PublishConfiguration() {
@@ -289,6 +365,13 @@
               R"(","timeout_ms":1000,"slo_ms":200,"service":"s)" +
               std::to_string(route.service) + "\"}";
   }
+  // Routes without traffic, so that the configuration fits into no message.
+  for (std::uint16_t i = 0; i < kIdleRoutes; ++i) {
+    routes += R"(,{"name":"idle","host":"198.18.0.2","prefix":"/)" +
+              std::to_string(kFirstIdlePort + i) +
+              R"(/","kind":"safe","service":"s0"})";
+  }
+  m_published[m_configuration + 1] = Now();
   m_store.Put("op/config",
               R"({"version":)" + std::to_string(++m_configuration) +
                   R"(,"routes":[)" + routes +
@@ -308,6 +391,11 @@
     SetStoreFault(balancer, FakeStore::Fault::kNone);
   }
   for (std::size_t agent = 0; agent < m_size.agents; ++agent) {
+    if (m_upstreams[agent].ended) {
+      m_processes.Signal(m_instances[m_size.balancers + agent].name, SIGKILL);
+      m_instances[m_size.balancers + agent].stop_requested = true;
+      ReuseAddress(agent);
+    }
     SetDraining(agent, false);
   }
   SetZoneOut(false);
@@ -347,6 +435,7 @@
     m_last_probe = now;
     for (std::size_t i = 0; i < m_size.balancers; ++i) {
       ProbeReadiness(i);
+      ProbeConfiguration(i);
     }
     CheckProcesses();
   }
@@ -367,6 +456,47 @@
                         kAdminPort);
 }
 
+std::uint64_t SoakSite::DueConfiguration() const {
+  std::uint64_t due = 0;
+  for (const auto& [version, published_at] : m_published) {
+    if (Now() - published_at > kConfigurationDeadline) {
+      due = version;
+    }
+  }
+  return due;
+}
+
+void SoakSite::ProbeConfiguration(std::size_t index) {
+  const std::uint64_t due = DueConfiguration();
+  if (!IsStable(index) || !IsRunning(index) ||
+      m_instances[index].stop_requested || !IsStoreStable()) {
+    return;
+  }
+  auto* socket = new QTcpSocket;
+  QObject::connect(socket, &QTcpSocket::connected, socket, [socket] {
+    socket->write("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+  });
+  QTimer::singleShot(kReadyAnswerTimeout, socket, [this, socket, index, due] {
+    static const QByteArray kName = "configuration_version ";
+    const QByteArray answer = socket->readAll();
+    const auto at = answer.lastIndexOf(kName);
+    if (at >= 0) {
+      const double version =
+          answer.mid(at + kName.size()).split('\n').front().toDouble();
+      if (version < static_cast<double>(due)) {
+        AddViolation(m_instances[index].name + " has version " +
+                     std::to_string(static_cast<std::uint64_t>(version)) +
+                     " in effect more than 3 s after version " +
+                     std::to_string(due) + " was published");
+      }
+    }
+    socket->abort();
+    socket->deleteLater();
+  });
+  socket->connectToHost(QHostAddress(m_instances[index].process.ipv4),
+                        kAdminPort);
+}
+
 void SoakSite::CheckProcesses() {
   for (std::size_t i = 0; i < m_instances.size(); ++i) {
     const Instance& each = m_instances[i];
@@ -393,11 +523,12 @@
 }
 
 bool SoakSite::IsStable(std::size_t instance) const {
-  return Now() - m_instances[instance].last_fault > kStableAfter;
+  return Now() - m_instances[instance].last_fault > kStableAfter &&
+         !m_store_faults.contains(instance);
 }
 
 bool SoakSite::IsStoreStable() const {
-  return m_store_faults.empty() && Now() - m_store_last_fault > kStableAfter;
+  return Now() - m_store_last_fault > kStableAfter;
 }
 
 SocketAddress SoakSite::Route(const FlowTuple& tuple) const {
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -26,6 +26,8 @@
     std::size_t balancers = 3;
     std::size_t agents = 5;
     std::size_t feeds = 30;
+    bool has_idle_feeds = false;
+    int orders_per_second = 40;
   };
 
   /// A process counts as stable this long after the last fault on it.
@@ -34,6 +36,11 @@
   /// in a zone that was taken out.
   static constexpr std::chrono::seconds kDrainDeadline{3};
   static constexpr std::chrono::seconds kZoneOutDeadline{5};
+  /// Time after which a configuration has to be in effect at every balancer
+  /// that is stable.
+  static constexpr std::chrono::seconds kConfigurationDeadline{3};
+  /// An address is used again no earlier than this after its upstream's end.
+  static constexpr std::chrono::seconds kReuseAfter{2};
   static constexpr std::size_t kServices = 2;
 
   /// \p network is the second byte of all addresses, so that several soak runs
@@ -48,8 +55,11 @@
   /// bound and all balancers are ready within 10 s.
   bool Start();
 
-  /// Runs traffic and checks for \p time, with \p orders_per_second in addition
-  /// to the feeds.
+  /// Runs traffic and checks for \p time.
+  void Run(std::chrono::milliseconds time) {
+    Run(time, m_size.orders_per_second);
+  }
+  /// The same with another number of orders in addition to the feeds.
   void Run(std::chrono::milliseconds time, int orders_per_second);
 
   /// Fault injection. Instances are numbered: balancers first, then agents.
@@ -58,12 +68,27 @@
   void Signal(std::size_t instance, int signal);
   void StartProcess(std::size_t instance);
   bool IsRunning(std::size_t instance) const;
+  /// Whether the process runs and was told to stop.
+  bool IsStopping(std::size_t instance) const {
+    return IsRunning(instance) && m_instances[instance].stop_requested;
+  }
   /// Impairments at the proxy. Each call counts as a fault on the instance.
   LoopbackProxy::Impairment& From(std::size_t instance);
   LoopbackProxy::Impairment& To(std::size_t instance);
   void SetStoreFault(std::size_t balancer, FakeStore::Fault fault);
   void DropStoreHistory();
+  /// Balancers that watch the operators' part of the store.
+  std::set<std::size_t> StoreReaders() const { return m_store.Watchers("op/"); }
   void RestartUpstream(std::size_t agent);
+  /// Ends an upstream, whose entry is removed. Returns false if it has ended
+  /// already, or if too few upstreams of its service would be left.
+  bool EndUpstream(std::size_t agent);
+  /// Starts an upstream of the other service at the address of one that has
+  /// ended.
+  void ReuseAddress(std::size_t agent);
+  /// Writes an entry that names no upstream: deeply nested, with a number or
+  /// port out of range, with a field missing, or of an unknown service.
+  void PutOddEntry(std::size_t agent, std::uint64_t kind);
   void SetDraining(std::size_t agent, bool draining);
   void SetZoneOut(bool out);
   void PublishConfiguration();
@@ -100,6 +125,7 @@
     std::uint64_t incarnation = 1;
     bool draining = false;
     TimePoint draining_since{};
+    bool ended = false;
   };
 
   QStringList Arguments(std::size_t instance) const;
@@ -111,11 +137,17 @@
   }
   void Step();
   void ProbeReadiness(std::size_t balancer);
+  /// Checks the version of the configuration in effect at a stable balancer.
+  void ProbeConfiguration(std::size_t balancer);
+  /// Returns the version that every stable balancer must have in effect.
+  std::uint64_t DueConfiguration() const;
   void CheckProcesses();
   void MarkFaulty(std::size_t instance);
   bool IsStable(std::size_t instance) const;
+  /// Whether the store serves balancers, and has for kStableAfter.
   bool IsStoreStable() const;
   void PutUpstreamEntry(std::size_t agent);
+  std::string MakeEntry(std::size_t agent) const;
   SocketAddress Route(const FlowTuple& tuple) const;
   void OnReset(const FlowTuple& tuple, const SocketAddress& sender);
   void OnOpening(std::size_t agent, const FlowTuple& tuple);
@@ -133,6 +165,9 @@
   std::unique_ptr<SoakCallers> m_callers;
   std::vector<SoakCallers::Route> m_routes;
   std::uint64_t m_configuration = 0;
+  /// When each version was published.
+  std::map<std::uint64_t, TimePoint> m_published;
+  std::uint64_t m_odd_entries = 0;
   bool m_zone_out = false;
   TimePoint m_zone_out_since{};
   TimePoint m_store_last_fault{};
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -36,7 +36,8 @@
 void SoakUpstream::Run(TimePoint now) {
   const UdpSocket::Handler handler =
       [&](const SocketAddress&, std::span<const std::uint8_t> datagram) {
-        if (const auto packet = PlatformPacketCodec().Decode(datagram)) {
+        if (const auto packet = PlatformPacketCodec().Decode(datagram);
+            packet && !m_down) {
           OnPacket(*packet, SoakPayload::Decode(datagram), now);
         }
       };
@@ -51,6 +52,11 @@
   return flow != m_flows.end() && flow->second.open;
 }
 
+void SoakUpstream::SetDown(bool down) {
+  m_down = down;
+  Restart();
+}
+
 void SoakUpstream::Restart() {
   m_flows.clear();
   m_queue.clear();
--- a/tests/soak/soakupstream.h
+++ b/tests/soak/soakupstream.h
@@ -42,6 +42,9 @@
   /// Drops all flows and requests, as after a restart of the process.
   void Restart();
 
+  /// While it is down, the upstream takes no packet and has no flows.
+  void SetDown(bool down);
+
   /// Whether the caller has completed the handshake of the flow.
   bool HasOpenFlow(const FlowTuple& tuple) const;
 
@@ -73,6 +76,7 @@
   std::uint32_t m_last_sequence;
   Observer m_observer;
   std::unique_ptr<UdpSocket> m_socket;
+  bool m_down = false;
   std::unordered_map<FlowTuple, Flow, FlowTupleHash> m_flows;
   std::deque<std::pair<FlowTuple, std::uint32_t>> m_queue;
   std::deque<Job> m_running;
