Do not take a flow on a port that is used again for the earlier one

An open flow was reset (FLOW) when its caller had used the port before for a flow that it gave up and another upstream still holds: a packet that came through another balancer was handed to the earlier flow's upstream, came back, and the agent reset the flow.

An agent compares the acknowledged number with the one that it saw last. A packet far from it belongs to another flow: the agent answers that it does not hold it. The upstreams of the tests now check that number as real ones do.

The test failed before in both subcases and passes.

--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -37,6 +37,14 @@
   return static_cast<std::int32_t>(a - b) > 0;
 }
 
+/// Whether no two packets of one flow have these acknowledgment numbers within
+/// its retransmissions: an upstream has at most 16 packets of 1,200 bytes in
+/// flight, and the numbers of two flows differ by more almost always.
+bool IsFarFrom(std::uint32_t a, std::uint32_t b) {
+  constexpr std::uint32_t kMaxDistance = 1U << 18U;
+  return std::min(a - b, b - a) > kMaxDistance;
+}
+
 }  // namespace
 
 FlowTracker::FlowTracker(Settings settings,
@@ -168,6 +176,13 @@
     flow.flow_class = message.flow_class;
     flow.data_sequence = packet.sequence - 1;
   }
+  if (flow.state == State::kOpen && flow.acknowledgment != 0 &&
+      IsFarFrom(packet.acknowledgment, flow.acknowledgment)) {
+    // The caller has given the flow up and uses the port again; the new flow is
+    // open at another upstream.
+    SendUnknown(source, tuple, "other_flow");
+    return;
+  }
   const bool moved = flow.balancer != source;
   flow.balancer = source;
   flow.acknowledgment = packet.acknowledgment;
--- a/tests/libflow/fakeupstream.h
+++ b/tests/libflow/fakeupstream.h
@@ -47,9 +47,12 @@
     if (half != m_half_open.end() &&
         packet.acknowledgment - half->second <= 1) {
       flows.insert(tuple);
+      m_sequences[tuple] = half->second;
       m_half_open.erase(half);
     }
-    if (!flows.contains(tuple)) {
+    const bool other_flow =
+        packet.acknowledgment - m_sequences[tuple] > kMaxFlowBytes;
+    if (!flows.contains(tuple) || other_flow) {
       if (resets_unknown) {
         FlowPacket reset = Answer(packet, false, 0);
         reset.reset = true;
@@ -116,6 +119,9 @@
   std::size_t max_queue_length = 0;
 
  private:
+  /// A packet that acknowledges more than this belongs to another flow.
+  static constexpr std::uint32_t kMaxFlowBytes = 500'000;
+
   struct QueuedRequest {
     FlowPacket packet;
     TimePoint since;
@@ -142,6 +148,8 @@
   std::uint32_t m_slots;
   std::uint32_t m_last_sequence;
   std::map<FlowTuple, std::uint32_t, TupleLess> m_half_open;
+  /// Own first sequence number of each flow.
+  std::map<FlowTuple, std::uint32_t, TupleLess> m_sequences;
   std::deque<QueuedRequest> m_queue;
   std::multimap<TimePoint, FlowPacket> m_running;
 };
--- a/tests/libflow/flowownertest.cpp
+++ b/tests/libflow/flowownertest.cpp
@@ -197,6 +197,45 @@
   CHECK(site.AnswersTo(tuple) == 2);
 }
 
+// Guards against a reset of an open flow (FLOW) whose caller's port was used by
+// an earlier flow that another upstream still holds.
+TEST_CASE("a flow on a port that is used again is not taken for the earlier") {
+  FlowSite site(2, 2);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(200));
+  FlowSite::Agent* earlier = site.OwnerOf(tuple);
+  REQUIRE(earlier != nullptr);
+  earlier->entry.draining = true;
+  site.BumpRevision(earlier);
+  site.Publish();
+  FlowPacket syn = FlowSite::Packet(tuple);
+  syn.syn = true;
+  syn.sequence = 5000;
+  site.SendFromCaller(0, syn);
+  FlowPacket request = FlowSite::Packet(tuple);
+  request.ack = true;
+  request.sequence = 5001;
+  request.acknowledgment = site.SynAckSequence(tuple) + 1;
+  request.data_bytes = 10;
+  std::size_t balancer = 0;
+  SUBCASE("through a balancer that knows the earlier owner") {
+    balancer = 1;
+  }
+  SUBCASE("through a balancer that searches for the owner") {
+    site.StartBalancer(1);
+    site.Publish();
+    balancer = 1;
+  }
+  // Two packets: the first one may only correct the balancer's record.
+  site.SendFromCaller(balancer, request);
+  site.Run(milliseconds(50));
+  site.SendFromCaller(balancer, request);
+  site.Run(milliseconds(200));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) >= 2);
+}
+
 TEST_CASE("a flow that no upstream holds is reset") {
   FlowSite site(1, 4);
   const FlowTuple tuple = FlowSite::Tuple(1);
