Ask agents that have never reported again after half a second

A balancer that has started sends each agent one heartbeat. If that or its answer is lost and the agent is in no subset, the next one came after 5 s or more; until then the balancer does not know the agent's flows, and takes the agent for gone once its entry is missing. Found by reading.

--- a/src/libflow/heartbeatscheduler.cpp
+++ b/src/libflow/heartbeatscheduler.cpp
@@ -62,6 +62,11 @@
 
 Duration HeartbeatScheduler::RegularInterval(const AgentPeer& agent,
                                              std::size_t agent_count) {
+  if (!agent.reports_wanted() && !agent.last_report()) {
+    return std::max<Duration>(
+        kUnheardInterval,
+        std::chrono::seconds(agent_count / kMaxUnheardPerSecond));
+  }
   if (!agent.reports_wanted() && agent.phase() == AgentPhase::kStopping) {
     return kStoppingInterval;
   }
--- a/src/libflow/heartbeatscheduler.h
+++ b/src/libflow/heartbeatscheduler.h
@@ -30,6 +30,11 @@
   /// The same for an agent that is about to stop and from which no reports are
   /// wanted, so that it gets new flows soon after it has restarted.
   static constexpr std::chrono::milliseconds kStoppingInterval{1000};
+  /// The same for an agent that has never reported: the first heartbeat or its
+  /// answer may have been lost. Longer if there are more than
+  /// kMaxUnheardPerSecond of them.
+  static constexpr std::chrono::milliseconds kUnheardInterval{500};
+  static constexpr std::size_t kMaxUnheardPerSecond = 200;
   /// The same for other agents from which no reports are wanted, unless
   /// kMaxIdlePerSecond requires a longer one.
   static constexpr std::chrono::milliseconds kIdleInterval{5000};
