Let the steady clock go on while the machine is suspended

A process whose machine was suspended could not tell: its clock stood still as well, so that neither the pause of an agent, nor silent peers, nor the age of the view were noticed. Platform pages say that CLOCK_BOOTTIME counts such time.

--- a/src/libbase/steadyclock.h
+++ b/src/libbase/steadyclock.h
@@ -6,10 +6,11 @@
 namespace fireflytrestle {
 
 /// \brief The system's monotonic clock. It continues to advance while the
-/// process is stopped, for example by SIGSTOP.
+/// process is stopped, for example by SIGSTOP, and while the machine is
+/// suspended.
 class SteadyClock : public Clock {
  public:
-  TimePoint Now() const override { return std::chrono::steady_clock::now(); }
+  TimePoint Now() const override;
 };
 
 }  // namespace fireflytrestle
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -22,18 +22,8 @@
   m_begin = m_site->Now();
   TimePoint next_fault = m_begin + std::chrono::seconds(1);
   while (m_site->Now() - m_begin < time) {
-    m_site->Run(kStepTime);
+    Step();
     const TimePoint now = m_site->Now();
-    std::vector<ScheduledAction> due;
-    std::erase_if(m_scheduled_actions, [&](const ScheduledAction& each) {
-      if (each.at <= now) {
-        due.push_back(each);
-      }
-      return each.at <= now;
-    });
-    for (const ScheduledAction& each : due) {
-      each.action();
-    }
     if (now >= next_fault) {
       CauseFault();
       // Some longer gaps let processes become stable, since some invariants are
@@ -45,10 +35,31 @@
   m_scheduled_actions.clear();
   RecordEvent("all faults end");
   m_site->EndAllFaults();
-  m_site->Run(kSettleTime);
+  for (std::size_t i = 0; i < m_site->instances(); ++i) {
+    RestartWhenStopped(i);
+  }
+  const TimePoint settled = m_site->Now() + kSettleTime;
+  while (m_site->Now() < settled) {
+    Step();
+  }
   m_site->CheckServesNewFlows();
 }
 
+void SoakRun::Step() {
+  m_site->Run(kStepTime);
+  const TimePoint now = m_site->Now();
+  std::vector<ScheduledAction> due;
+  std::erase_if(m_scheduled_actions, [&](const ScheduledAction& each) {
+    if (each.at <= now) {
+      due.push_back(each);
+    }
+    return each.at <= now;
+  });
+  for (const ScheduledAction& each : due) {
+    each.action();
+  }
+}
+
 void SoakRun::CauseExtendedFault() {
   switch (Draw(4)) {
     case 0:
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -39,6 +39,8 @@
     std::function<void()> action;
   };
 
+  /// Runs the site for a moment, then the actions that are due.
+  void Step();
   void CauseFault();
   void CauseExtendedFault();
   /// Stops and starts several processes of one kind in turn, as planned.
