--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -127,8 +127,8 @@
 
   // From the site view.
   std::string m_listed_service;
-  bool m_listed = false;
   TimePoint m_last_listed{};
+  bool m_listed = false;
   /// The view has a configuration, and with it the limits of the service.
   bool m_is_configured = false;
   bool m_draining = false;
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -308,16 +308,20 @@
   m_loss_detector.OnSearch();
   std::vector<AgentPeerPtr> other_zones;
   std::vector<AgentPeerPtr> other_services;
-  for (const auto& [service, agents] : m_agents.by_service()) {
-    const bool of_route = std::any_of(
-        route->second.services.begin(), route->second.services.end(),
-        [&](const WeightedService& each) { return each.service == service; });
-    for (const AgentPeerPtr& agent : agents) {
-      const bool in_zone = agent->zone() == m_settings.zone;
-      auto& stage = !of_route ? other_services
-                    : in_zone ? entry->pending_agents
-                              : other_zones;
-      stage.push_back(agent);
+  for (const auto& item : m_agents.by_service()) {
+    const bool of_route = std::any_of(route->second.services.begin(),
+                                      route->second.services.end(),
+                                      [&](const WeightedService& each) {
+                                        return each.service == item.first;
+                                      });
+    for (const AgentPeerPtr& agent : item.second) {
+      if (!of_route) {
+        other_services.push_back(agent);
+      } else if (agent->zone() == m_settings.zone) {
+        entry->pending_agents.push_back(agent);
+      } else {
+        other_zones.push_back(agent);
+      }
     }
   }
   auto& pending = entry->pending_agents;
