Return copies of a SYN, too, while an agent's address has another service

The check of the address did not apply to copies of a SYN that the agent had passed on before: such a copy could still reach the other service's upstream (ROUTE). A caller's reset is passed on whatever it acknowledges.

The new case of the test failed before and passes.

--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -119,9 +119,10 @@
                             const FlowTuple& tuple,
                             TimePoint now) {
   const auto known = m_flows.find(tuple);
-  const bool copy =
-      known != m_flows.end() && known->second.syn_sequence == packet.sequence &&
-      known->second.state != State::kUnconfirmed && m_view_confirmed;
+  const bool copy = known != m_flows.end() &&
+                    known->second.syn_sequence == packet.sequence &&
+                    known->second.state != State::kUnconfirmed &&
+                    m_view_confirmed && !IsOfOtherService(m_entry_revision);
   if (!copy) {
     const ReturnReason refusal = RejectReason(now);
     if (refusal != ReturnReason::kCount) {
@@ -176,7 +177,7 @@
     flow.flow_class = message.flow_class;
     flow.data_sequence = packet.sequence - 1;
   }
-  if (flow.state == State::kOpen && flow.acknowledgment != 0 &&
+  if (flow.state == State::kOpen && flow.acknowledgment != 0 && !packet.reset &&
       IsFarFrom(packet.acknowledgment, flow.acknowledgment)) {
     // The caller has given the flow up and uses the port again; the new flow is
     // open at another upstream.
--- a/tests/libflow/viewtest.cpp
+++ b/tests/libflow/viewtest.cpp
@@ -132,17 +132,23 @@
 TEST_CASE("an agent takes no flow while its address has another service") {
   FlowSite site(1, 2);
   FlowSite::Agent* agent = site.agents[0].get();
-  agent->entry.service = "ledger";
-  site.view.services["ledger"] = {};
-  site.BumpRevision(agent);
-  site.Publish();
   // A balancer with an old view.
+  const SocketAddress balancer{0x0A010077, FlowSite::kNodePort};
   FlowPacket syn = FlowSite::Packet(FlowSite::Tuple(1));
   syn.syn = true;
   const std::vector<std::uint8_t> bytes = PlainCodec::Encode(syn);
-  agent->tracker->OnNodeMessage({0x0A010077, FlowSite::kNodePort},
-                                DeliverMessage{"counter", false, {}, bytes},
-                                site.clock.Now());
+  const DeliverMessage message{"counter", false, {}, bytes};
+  SUBCASE("a new one") {}
+  SUBCASE("a copy of a SYN that the upstream before has not answered") {
+    agent->upstream->unresponsive = true;
+    agent->tracker->OnNodeMessage(balancer, message, site.clock.Now());
+    agent->upstream->unresponsive = false;
+  }
+  agent->entry.service = "ledger";
+  site.view.services["ledger"] = {};
+  site.BumpRevision(agent);
+  site.Publish();
+  agent->tracker->OnNodeMessage(balancer, message, site.clock.Now());
   CHECK(agent->upstream->opened.empty());
   CHECK(site.Decisions("open_returned wrong_service") == 1);
 }
