Soak: check resets of a balancer whose path to the store is cut, as before

The extended soak had excused them: a fault of the store for one balancer counted as a fault of the balancer, and its resets of open flows were no longer violations. That was a check made narrower without a reason. A store fault is now recorded apart from other faults; it excuses a balancer from the checks of configurations, draining and zones only, as the store's instability did.

--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -240,13 +240,11 @@
   m_store.SetFault(balancer, fault);
   const bool failed_for_all = m_store_faults.size() == m_size.balancers;
   if (fault == FakeStore::Fault::kNone) {
-    if (m_store_faults.erase(balancer) > 0) {
-      MarkFaulty(balancer);
-    }
+    m_store_faults.erase(balancer);
   } else {
     m_store_faults.insert(balancer);
-    MarkFaulty(balancer);
   }
+  m_instances[balancer].last_store_fault = Now();
   if (failed_for_all || m_store_faults.size() == m_size.balancers) {
     m_store_last_fault = Now();
   }
@@ -468,7 +466,7 @@
 
 void SoakSite::ProbeConfiguration(std::size_t index) {
   const std::uint64_t due = DueConfiguration();
-  if (!IsStable(index) || !IsRunning(index) ||
+  if (!IsStable(index) || !HasStoreAccess(index) || !IsRunning(index) ||
       m_instances[index].stop_requested || !IsStoreStable()) {
     return;
   }
@@ -523,8 +521,12 @@
 }
 
 bool SoakSite::IsStable(std::size_t instance) const {
-  return Now() - m_instances[instance].last_fault > kStableAfter &&
-         !m_store_faults.contains(instance);
+  return Now() - m_instances[instance].last_fault > kStableAfter;
+}
+
+bool SoakSite::HasStoreAccess(std::size_t balancer) const {
+  return !m_store_faults.contains(balancer) &&
+         Now() - m_instances[balancer].last_store_fault > kStableAfter;
 }
 
 bool SoakSite::IsStoreStable() const {
@@ -566,7 +568,7 @@
   const std::size_t instance = m_size.balancers + agent;
   bool stable = IsStoreStable() && IsStable(instance);
   for (std::size_t i = 0; i < m_size.balancers; ++i) {
-    stable = stable && IsStable(i);
+    stable = stable && IsStable(i) && HasStoreAccess(i);
   }
   // A retransmitted SYN can take up to a second to arrive.
   const Duration max_syn_delay = std::chrono::seconds(1);
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -110,6 +110,8 @@
     SocketAddress proxy_address;
     std::string zone;
     TimePoint last_fault{};
+    /// Last fault of the store for this balancer.
+    TimePoint last_store_fault{};
     TimePoint last_message{};
     bool stop_requested = false;
     /// Number of SIGTERMs; the second one ends a process at once, with exit
@@ -144,6 +146,8 @@
   void CheckProcesses();
   void MarkFaulty(std::size_t instance);
   bool IsStable(std::size_t instance) const;
+  /// Whether the store serves the balancer, and has for kStableAfter.
+  bool HasStoreAccess(std::size_t balancer) const;
   /// Whether the store serves balancers, and has for kStableAfter.
   bool IsStoreStable() const;
   void PutUpstreamEntry(std::size_t agent);
