Pass packets of a flow to an upstream that does not hold it only once

What callers saw: packets of an open flow reached other upstreams, and none its own, for 2 s and more (FLOW).

Cause: a balancer that does not know a flow sends its packets to all agents of the service as a query, and an agent that does not know the flow either passes them to its upstream, which returns them. The agent forgot that answer at once. While the agent of the flow's owner is being restarted, each balancer that a copy of the packet reaches starts a search of its own, and a balancer whose view is not confirmed starts one for each copy, so that every copy reached all other upstreams.

Change: an agent remembers a flow that its upstream has returned or reset for 3 s after its last packet, and answers further queries itself. A SYN ends the record, and so does a packet with a distant acknowledgment number, which belongs to another flow.

--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -122,7 +122,8 @@
   const bool copy = known != m_flows.end() &&
                     known->second.syn_sequence == packet.sequence &&
                     known->second.state != State::kUnconfirmed &&
-                    m_view_confirmed && !IsOfOtherService(m_entry_revision);
+                    known->second.state != State::kAbsent && m_view_confirmed &&
+                    !IsOfOtherService(m_entry_revision);
   if (!copy) {
     const ReturnReason refusal = RejectReason(now);
     if (refusal != ReturnReason::kCount) {
@@ -172,7 +173,16 @@
   }
   const auto [position, added] = m_flows.try_emplace(tuple);
   UpstreamFlow& flow = position->second;
-  if (added) {
+  if (flow.state == State::kAbsent &&
+      !IsFarFrom(packet.acknowledgment, flow.acknowledgment)) {
+    // Packets of an open flow must not reach an upstream that does not hold it
+    // again and again, whichever balancer searches for the owner.
+    flow.last_packet = now;
+    flow.acknowledgment = packet.acknowledgment;
+    SendUnknown(source, tuple, "absent");
+    return;
+  }
+  if (added || flow.state == State::kAbsent) {
     flow.state = State::kUnconfirmed;
     flow.flow_class = message.flow_class;
     flow.data_sequence = packet.sequence - 1;
@@ -285,6 +295,11 @@
   m_flows.erase(position);
 }
 
+void FlowTracker::MarkAbsent(UpstreamFlow* flow) {
+  EndRequest(flow);
+  flow->state = State::kAbsent;
+}
+
 void FlowTracker::ReleaseRequests(TimePoint now) {
   while (auto request = m_pending_requests.TakeNext(m_running, now)) {
     const auto position = m_flows.find(request->tuple);
@@ -336,7 +351,8 @@
   const FlowTuple tuple{packet->destination, packet->source};
   const auto [position, added] = m_flows.try_emplace(tuple);
   UpstreamFlow& flow = position->second;
-  if (added) {
+  const bool was_absent = flow.state == State::kAbsent;
+  if (added || was_absent) {
     flow.state = State::kUnconfirmed;
   }
   flow.last_packet = now;
@@ -345,7 +361,11 @@
     // caller's flow may be open at another upstream. The caller must not see
     // such a reset.
     const SocketAddress balancer = flow.balancer;
-    EraseFlow(position);
+    if (added) {
+      EraseFlow(position);
+    } else {
+      MarkAbsent(&flow);
+    }
     if (balancer != SocketAddress{}) {
       SendUnknown(balancer, tuple, "reset_by_upstream");
     }
@@ -405,11 +425,14 @@
     SendReturn(flow.balancer, ReturnReason::kUpstreamFull, tuple, datagram);
     return;
   }
+  if (flow.state == State::kUnconfirmed || flow.state == State::kAbsent) {
+    MarkAbsent(&position->second);
+    SendUnknown(flow.balancer, tuple, "handed_back");
+    return;
+  }
   EraseFlow(position);
   if (flow.state == State::kOpen) {
     Reset(tuple, flow, "upstream_lost_flow");
-  } else if (flow.state == State::kUnconfirmed) {
-    SendUnknown(flow.balancer, tuple, "handed_back");
   }
 }
 
--- a/src/libflow/flowtracker.h
+++ b/src/libflow/flowtracker.h
@@ -121,6 +121,9 @@
                        const UpstreamFlow& flow,
                        TimePoint now);
   void EraseFlow(UpstreamFlowTable::iterator position);
+  /// Records that the upstream does not hold the flow. The record ends
+  /// kClosingTimeout after the last packet, or with the next SYN.
+  void MarkAbsent(UpstreamFlow* flow);
   /// Sends queued requests to the upstream while it has room for them.
   void ReleaseRequests(TimePoint now);
   /// Drops queued requests that cannot be answered before their callers'
--- a/src/libflow/upstreamflow.h
+++ b/src/libflow/upstreamflow.h
@@ -18,6 +18,9 @@
     /// A packet of a flow that the agent did not know has passed; the upstream
     /// may not hold the flow.
     kUnconfirmed,
+    /// The upstream does not hold the flow: it has returned or reset one of its
+    /// packets, with about the acknowledgment number \ref acknowledgment.
+    kAbsent,
     kOpen,
     /// The caller or the upstream has sent a FIN or a reset.
     kClosing,
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -295,6 +295,7 @@
   }
 
   void SendFromCaller(std::size_t balancer, const FlowPacket& packet) {
+    ++caller_packets;
     balancers[balancer]->router->OnCallerPacket(PlainCodec::Encode(packet),
                                                 clock.Now());
     DeliverAll();
@@ -390,6 +391,8 @@
   std::size_t measurements = 0;
   /// The agent whose upstream's packets are held back; null for none.
   const Agent* delayed = nullptr;
+  /// Number of packets that callers sent.
+  std::size_t caller_packets = 0;
   /// Number of callers' packets that balancers sent to agents.
   std::size_t delivered = 0;
   /// Number of other messages between processes, by sender and by receiver.
@@ -397,6 +400,10 @@
   std::map<SocketAddress, std::size_t> control_received;
   /// Search limit for balancers that are started after it is set.
   std::uint64_t search_bytes_per_second = 1'000'000;
+  /// Called with each caller's packet that an agent passes to its upstream, if
+  /// set, before the upstream handles it.
+  std::function<void(const Agent& agent, const FlowPacket& packet)>
+      on_upstream_packet;
   /// Called with each report that an agent sends, if set.
   std::function<void(const SocketAddress& from,
                      const SocketAddress& to,
@@ -447,8 +454,12 @@
 
 inline void FlowSite::Output::SendToUpstream(
     std::span<const std::uint8_t> packet) {
-  for (const FlowPacket& answer : m_agent->upstream->OnPacket(
-           *m_site->codec.Decode(packet), m_site->clock.Now())) {
+  const FlowPacket decoded = *m_site->codec.Decode(packet);
+  if (m_site->on_upstream_packet) {
+    m_site->on_upstream_packet(*m_agent, decoded);
+  }
+  for (const FlowPacket& answer :
+       m_agent->upstream->OnPacket(decoded, m_site->clock.Now())) {
     m_site->m_from_upstreams.push_back({m_agent, answer});
   }
 }
--- a/tests/libflow/randomfaulttest.cpp
+++ b/tests/libflow/randomfaulttest.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "flowsite.h"
+#include "straypacketlog.h"
 
 namespace fireflytrestle {
 
@@ -18,7 +19,7 @@
 class RandomRun {
  public:
   explicit RandomRun(std::uint64_t seed)
-      : m_random(seed), m_site(kBalancers, kAgents) {
+      : m_random(seed), m_site(kBalancers, kAgents), m_stray_packets(&m_site) {
     m_site.is_lost = [this](const SocketAddress& from,
                             const SocketAddress& to) {
       return m_cut.contains(from) || m_cut.contains(to) ||
@@ -34,10 +35,12 @@
       for (std::uint64_t load = Draw(3); load > 0; --load) {
         UseFlow();
       }
+      SendCopies();
       m_site.Run(kStep);
       Observe();
     }
     Heal();
+    HealPlanned();
     for (Duration passed{}; passed < seconds(5); passed += kStep) {
       m_site.Run(kStep);
       Observe();
@@ -54,6 +57,10 @@
   /// An instance counts as stable this long after its last fault.
   static constexpr seconds kStableAfter{4};
   static constexpr std::uint32_t kOutageLossPermille = 250;
+  /// Callers send a packet again after these times.
+  static constexpr milliseconds kRetransmissions[] = {
+      milliseconds(200), milliseconds(600), milliseconds(1400),
+      milliseconds(3000)};
 
   struct Flow {
     FlowTuple tuple;
@@ -62,6 +69,13 @@
     std::optional<std::size_t> owner;
   };
 
+  /// A caller's packet that is sent again unless it has been answered.
+  struct Copy {
+    TimePoint due;
+    FlowTuple tuple;
+    std::uint32_t request = 0;
+  };
+
   std::uint64_t Draw(std::uint64_t below) { return m_random() % below; }
 
   TimePoint now() const { return m_site.clock.Now(); }
@@ -122,6 +136,9 @@
       default:
         // Planned restart: it is announced, and the agent is back when the
         // fault is healed.
+        if (!agent.running) {
+          break;
+        }
         agent.tracker->BeginStop(now());
         m_site.DeliverAll();
         agent.running = false;
@@ -135,14 +152,15 @@
     m_loss_permille = 0;
     for (std::size_t i = 0; i < kAgents; ++i) {
       auto& agent = *m_site.agents[i];
-      if (!agent.running) {
+      if (!agent.running && !m_planned.contains(agent.address)) {
         m_site.StartAgent(i);
-        if (!m_planned.contains(agent.address)) {
-          MarkFaulty(agent.address);
-        }
+        MarkFaulty(agent.address);
       }
     }
-    m_planned.clear();
+    // Some planned restarts take two periods.
+    if (std::exchange(m_planned_overdue, !m_planned_overdue) || Draw(2) == 0) {
+      HealPlanned();
+    }
     for (std::size_t i = 0; i < kBalancers; ++i) {
       if (!m_site.balancers[i]->running) {
         m_site.StartBalancer(i);
@@ -157,6 +175,16 @@
     m_site.Publish();
   }
 
+  void HealPlanned() {
+    for (std::size_t i = 0; i < kAgents; ++i) {
+      if (m_planned.contains(m_site.agents[i]->address)) {
+        m_site.StartAgent(i);
+      }
+    }
+    m_planned.clear();
+    m_planned_overdue = false;
+  }
+
   /// Returns any balancer that runs and is serving, as a router does; 0 if none
   /// is found.
   std::size_t PickBalancer() {
@@ -188,13 +216,53 @@
     }
     Flow& flow = m_flows[Draw(m_flows.size())];
     m_site.SendRequest(balancer, flow.tuple, ++flow.requests);
+    for (const milliseconds pause : kRetransmissions) {
+      m_copies.push_back({now() + pause, flow.tuple, flow.requests});
+    }
     if (m_flows.size() > 60) {
       m_flows.erase(m_flows.begin());
     }
     Observe();
   }
 
+  void SendCopies() {
+    std::vector<Copy> due;
+    std::erase_if(m_copies, [&](const Copy& copy) {
+      if (copy.due > now()) {
+        return false;
+      }
+      due.push_back(copy);
+      return true;
+    });
+    for (const Copy& copy : due) {
+      const std::size_t balancer = PickBalancer();
+      if (m_site.balancers[balancer]->running &&
+          m_site.ResetsOf(copy.tuple) == 0 &&
+          m_site.AnswersTo(copy.tuple) < copy.request) {
+        m_site.SendRequest(balancer, copy.tuple, copy.request);
+      }
+    }
+  }
+
+  /// Checks that the packets of no open flow reach other upstreams and none its
+  /// own, while the instances are stable.
+  void CheckStrayPackets() {
+    for (const Flow& flow : m_flows) {
+      if (flow.owner && IsStable(m_site.agents[*flow.owner]->address) &&
+          m_site.agents[*flow.owner]->upstream->flows.contains(flow.tuple) &&
+          m_stray_packets.RecentStrayPackets(flow.tuple) >=
+              StrayPacketLog::kMinStrayPackets) {
+        FAIL("packets of the open flow of "
+             << ToString(flow.tuple.caller)
+             << " reach other upstreams and none its own, at "
+             << ToString(m_site.agents[*flow.owner]->address)
+             << "; faults:" << m_faults);
+      }
+    }
+  }
+
   void Observe() {
+    CheckStrayPackets();
     for (Flow& flow : m_flows) {
       for (std::size_t i = 0; i < kAgents; ++i) {
         if (m_site.agents[i]->upstream->flows.contains(flow.tuple)) {
@@ -261,10 +329,14 @@
 
   std::mt19937_64 m_random;
   FlowSite m_site;
+  StrayPacketLog m_stray_packets;
+  std::vector<Copy> m_copies;
   std::uint32_t m_callers = 0;
   std::vector<Flow> m_flows;
   std::set<SocketAddress> m_cut;
   std::set<SocketAddress> m_planned;
+  /// The agents in \ref m_planned have been down for a period.
+  bool m_planned_overdue = false;
   std::uint64_t m_loss_permille = 0;
   std::map<SocketAddress, TimePoint> m_last_fault;
   std::map<SocketAddress, int> m_lifetimes;
--- /dev/null
+++ b/tests/libflow/straypackettest.cpp
@@ -0,0 +1,78 @@
+#include <doctest/doctest.h>
+
+#include "flowsite.h"
+#include "straypacketlog.h"
+
+namespace fireflytrestle {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kBalancers = 4;
+
+/// Opens a flow through balancer 0 and lets its agent report it.
+FlowSite::Agent* OpenAndReport(FlowSite* site, const FlowTuple& tuple) {
+  site->Open(0, tuple);
+  site->Run(milliseconds(300));
+  return site->OwnerOf(tuple);
+}
+
+/// Sends the flow's second request as a caller does whose packets are not
+/// acknowledged, in turn through the balancers from \p first on.
+void RetransmitRequest(FlowSite* site,
+                       const FlowTuple& tuple,
+                       std::size_t first,
+                       std::size_t balancers) {
+  constexpr milliseconds kPauses[] = {milliseconds(200), milliseconds(400),
+                                      milliseconds(800), milliseconds(1600)};
+  std::size_t number = 0;
+  for (const milliseconds pause : kPauses) {
+    site->SendRequest(first + number++ % balancers, tuple, 2);
+    site->Run(pause);
+  }
+}
+
+/// Stops the agent as planned, while its upstream goes on.
+void StopAgent(FlowSite* site, FlowSite::Agent* agent) {
+  agent->tracker->BeginStop(site->clock.Now());
+  site->Run(FlowTracker::kNoticeTime);
+  agent->running = false;
+}
+
+}  // namespace
+
+// Guards against FLOW (b): packets of an open flow reach other upstreams and
+// none its own. The flow moves between balancers that do not know it while its
+// agent restarts.
+TEST_CASE("a flow is searched for at another upstream once") {
+  FlowSite site(kBalancers, 4, 3, {kBalancers, 2});
+  const StrayPacketLog log(&site);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  FlowSite::Agent* owner = OpenAndReport(&site, tuple);
+  REQUIRE(owner != nullptr);
+  StopAgent(&site, owner);
+  RetransmitRequest(&site, tuple, 1, kBalancers - 1);
+  CHECK(log.MostStrayPackets(tuple) < StrayPacketLog::kMinStrayPackets);
+  CHECK(site.resets.empty());
+}
+
+// Guards against FLOW (b) at a balancer that lists not all agents: it searches
+// again for each packet, while the view is not confirmed.
+TEST_CASE("a balancer with an old view searches at another upstream once") {
+  FlowSite site(1, 4);
+  const StrayPacketLog log(&site);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  FlowSite::Agent* owner = OpenAndReport(&site, tuple);
+  REQUIRE(owner != nullptr);
+  owner->listed = false;
+  site.is_lost = [&](const SocketAddress& from, const SocketAddress&) {
+    return from == owner->address;
+  };
+  site.StartBalancer(0);
+  site.Publish();
+  RetransmitRequest(&site, tuple, 0, 1);
+  CHECK(log.MostStrayPackets(tuple) < StrayPacketLog::kMinStrayPackets);
+}
+
+}  // namespace fireflytrestle
