Test a balancer that returns after longer than agents report to it

The review suspected, by reading, that a balancer that was away for over 30 s resets flows of an upstream that has left a small service. The test shows that it does not: other balancers announce it to the upstream's agent, which then reports to it. No change of code.

--- a/tests/libflow/flowownertest.cpp
+++ b/tests/libflow/flowownertest.cpp
@@ -197,6 +197,28 @@
   CHECK(site.AnswersTo(tuple) == 2);
 }
 
+// Guards against a reset of open flows (FLOW) of an upstream that left the
+// store while a balancer was away for longer than agents report to it.
+TEST_CASE("a balancer that was away for long finds flows of a left upstream") {
+  FlowSite site(2, 4);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(200));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  REQUIRE(owner != nullptr);
+  site.balancers[1]->running = false;
+  owner->listed = false;
+  site.Publish();
+  site.Run(std::chrono::seconds(35));
+  site.StartBalancer(1);
+  site.Publish();
+  site.Run(milliseconds(1500));
+  site.SendRequest(1, tuple, 2);
+  site.Run(milliseconds(200));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) == 2);
+}
+
 // Guards against a reset of an open flow (FLOW) whose caller's port was used by
 // an earlier flow that another upstream still holds.
 TEST_CASE("a flow on a port that is used again is not taken for the earlier") {
