Soak: check that packets of open flows reach their own upstreams

The soak now counts the packets of an open flow that reach other upstreams, and reports three or more while none reaches its own for 2 s; copies that arrive within 100 ms count as one packet. Planned stops do not excuse it; unplanned faults on the owner's instance or on a balancer do, as for resets.

--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -35,6 +35,9 @@
 /// A service keeps more upstreams than this.
 constexpr std::ptrdiff_t kMinUpstreams = 2;
 constexpr milliseconds kReadyTimeout{10000};
+/// Copies that a balancer sends of one packet arrive within this time; callers
+/// repeat a packet after 200 ms.
+constexpr milliseconds kCopyTime{100};
 constexpr milliseconds kProbeInterval{500};
 constexpr milliseconds kReadyAnswerTimeout{300};
 constexpr int kStepMs = 2;
@@ -89,6 +92,9 @@
         static_cast<std::uint32_t>(agent + 1),
         SoakUpstream::Observer{
             [this, agent](const FlowTuple& tuple) { OnOpening(agent, tuple); },
+            [this](const FlowTuple& tuple, bool holds_flow) {
+              OnFlowPacket(tuple, holds_flow);
+            },
             [this, agent](const SoakPayload& payload) {
               OnRequestRun(agent, payload);
             }});
@@ -436,6 +442,7 @@
       ProbeConfiguration(i);
     }
     CheckProcesses();
+    CheckStrayPackets();
   }
 }
 
@@ -583,6 +590,52 @@
   }
 }
 
+void SoakSite::OnFlowPacket(const FlowTuple& tuple, bool holds_flow) {
+  if (holds_flow) {
+    m_stray_packets.erase(tuple);
+    return;
+  }
+  if (!FindOwner(tuple)) {
+    return;
+  }
+  StrayPackets& stray = m_stray_packets[tuple];
+  if (stray.count == 0) {
+    stray.first = Now();
+  }
+  stray.count += stray.count == 0 || Now() - stray.last > kCopyTime ? 1 : 0;
+  stray.last = Now();
+}
+
+std::optional<std::size_t> SoakSite::FindOwner(const FlowTuple& tuple) const {
+  for (std::size_t agent = 0; agent < m_size.agents; ++agent) {
+    if (m_upstreams[agent].upstream->HasOpenFlow(tuple)) {
+      return agent;
+    }
+  }
+  return std::nullopt;
+}
+
+void SoakSite::CheckStrayPackets() {
+  std::erase_if(m_stray_packets, [this](const auto& item) {
+    const auto& [tuple, stray] = item;
+    if (Now() - stray.first < kStrayTime) {
+      return false;
+    }
+    const std::optional<std::size_t> owner = FindOwner(tuple);
+    bool stable = owner && IsStable(m_size.balancers + *owner);
+    for (std::size_t i = 0; i < m_size.balancers; ++i) {
+      stable = stable && IsStable(i);
+    }
+    if (stable && stray.count > kMaxStrayPackets) {
+      AddViolation(std::to_string(stray.count) + " packets of a flow of " +
+                   ToString(tuple.caller) +
+                   " reached other upstreams and none that of " +
+                   m_instances[m_size.balancers + *owner].name);
+    }
+    return true;
+  });
+}
+
 void SoakSite::OnRequestRun(std::size_t agent, const SoakPayload& payload) {
   if (payload.service != m_upstreams[agent].service) {
     AddViolation("a request reached the upstream of another service, that of " +
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -5,8 +5,10 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "fakes/fakestore.h"
@@ -41,6 +43,10 @@
   static constexpr std::chrono::seconds kConfigurationDeadline{3};
   /// An address is used again no earlier than this after its upstream's end.
   static constexpr std::chrono::seconds kReuseAfter{2};
+  /// An open flow whose packets reach other upstreams and not its own must
+  /// reach its own again within this time, or before the third such packet.
+  static constexpr std::chrono::seconds kStrayTime{2};
+  static constexpr int kMaxStrayPackets = 2;
   static constexpr std::size_t kServices = 2;
 
   /// \p network is the second byte of all addresses, so that several soak runs
@@ -130,6 +136,14 @@
     bool ended = false;
   };
 
+  /// Packets of a flow that reached other upstreams since the last one that
+  /// reached its own.
+  struct StrayPackets {
+    TimePoint first{};
+    TimePoint last{};
+    int count = 0;
+  };
+
   QStringList Arguments(std::size_t instance) const;
   SocketAddress MakeAddress(int block,
                             std::size_t number,
@@ -155,6 +169,10 @@
   SocketAddress Route(const FlowTuple& tuple) const;
   void OnReset(const FlowTuple& tuple, const SocketAddress& sender);
   void OnOpening(std::size_t agent, const FlowTuple& tuple);
+  void OnFlowPacket(const FlowTuple& tuple, bool holds_flow);
+  /// Returns the agent whose upstream holds the open flow.
+  std::optional<std::size_t> FindOwner(const FlowTuple& tuple) const;
+  void CheckStrayPackets();
   void OnRequestRun(std::size_t agent, const SoakPayload& payload);
   void AddViolation(const std::string& what);
 
@@ -178,6 +196,7 @@
   std::set<std::size_t> m_store_faults;
   TimePoint m_last_step{};
   TimePoint m_last_probe{};
+  std::unordered_map<FlowTuple, StrayPackets, FlowTupleHash> m_stray_packets;
   std::map<std::uint64_t, std::size_t> m_runs;
   std::uint64_t m_stalls = 0;
   std::vector<std::string> m_violations;
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -87,6 +87,7 @@
   const bool has_flow =
       known != m_flows.end() &&
       packet.acknowledgment - known->second.sequence < kSequencesPerFlow;
+  m_observer.on_flow_packet(tuple, has_flow);
   if (!has_flow) {
     FlowPacket back = packet;
     back.bounced = true;
