Test that a returned packet does not withhold another flow on its port

The record of a returned packet must not outlive a SYN, nor concern a flow with a distant acknowledgment number. Without the comparison of acknowledgment numbers the new test fails: the agent withholds the packets of the open flow, and the balancer resets it.

--- a/tests/libflow/straypackettest.cpp
+++ b/tests/libflow/straypackettest.cpp
@@ -75,4 +75,32 @@
   CHECK(log.MostStrayPackets(tuple) < StrayPacketLog::kMinStrayPackets);
 }
 
+// Guards against a flow whose packets its own agent withholds, because its
+// upstream has returned a packet of an earlier flow on the same port.
+TEST_CASE("an upstream that returned a packet gets another flow on the port") {
+  FlowSite site(1, 1);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  FlowPacket earlier = FlowSite::Packet(tuple);
+  earlier.ack = true;
+  earlier.acknowledgment = 900'000'000;
+  earlier.data_bytes = 10;
+  SUBCASE("which opens after that") {
+    site.SendFromCaller(0, earlier);
+    site.resets.clear();
+    site.Open(0, tuple);
+  }
+  SUBCASE("which opened before the agent restarted") {
+    site.Open(0, tuple);
+    site.Run(milliseconds(300));
+    site.StartAgent(0);
+    site.Publish();
+    site.SendFromCaller(0, earlier);
+  }
+  REQUIRE(site.Decisions("flow_unknown handed_back") == 1);
+  site.SendRequest(0, tuple, 2);
+  site.Run(milliseconds(200));
+  CHECK(site.AnswersTo(tuple) == 2);
+  CHECK(site.resets.empty());
+}
+
 }  // namespace fireflytrestle
