Log packets that reach an upstream whose agent does not know their flow

The log did not tell how many upstreams a packet of a flow reached, nor whether its own was among them: an agent that passes a packet without knowing the flow logged nothing, and one whose upstream held the flow after all logged nothing either.

packet_unconfirmed marks each such arrival, with the balancer and whether it came from a search; flow_confirmed marks the upstream that holds the flow. Both are counted in flow_decisions_total. No decision changes.

--- a/src/libflow/flowdecision.cpp
+++ b/src/libflow/flowdecision.cpp
@@ -18,6 +18,10 @@
       return "open_returned";
     case FlowDecision::Kind::kUnknownThere:
       return "flow_unknown";
+    case FlowDecision::Kind::kUnconfirmed:
+      return "packet_unconfirmed";
+    case FlowDecision::Kind::kConfirmed:
+      return "flow_confirmed";
     case FlowDecision::Kind::kPeerSilent:
       return "peer_silent";
     case FlowDecision::Kind::kPeerBack:
--- a/src/libflow/flowdecision.h
+++ b/src/libflow/flowdecision.h
@@ -31,6 +31,11 @@
     kReturned,
     /// The upstream of an agent does not hold the flow.
     kUnknownThere,
+    /// An agent passed a packet of a flow to its upstream without knowing
+    /// whether the upstream holds the flow.
+    kUnconfirmed,
+    /// The upstream answered in a flow that was unconfirmed: it holds the flow.
+    kConfirmed,
     /// A peer stopped or resumed sending messages, or the phase of an agent or
     /// the entry of its upstream changed.
     kPeerSilent,
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -219,6 +219,10 @@
     }
   }
   flow.last_packet = now;
+  if (flow.state == State::kUnconfirmed) {
+    Report(Kind::kUnconfirmed, tuple, source,
+           message.search ? "search" : "assigned");
+  }
   if (packet.fin || packet.reset) {
     flow.state = State::kClosing;
     EndRequest(&flow);
@@ -375,6 +379,9 @@
     flow.answered = true;
     flow.upstream_sequence = packet->sequence;
   } else if (flow.state == State::kUnconfirmed) {
+    if (flow.balancer != SocketAddress{}) {
+      Report(Kind::kConfirmed, tuple, flow.balancer, "upstream_packet");
+    }
     MarkOpen(tuple, &flow);
   }
   if (packet->data_bytes > 0 && flow.running) {
