--- a/tests/libflow/straypackettest.cpp
+++ b/tests/libflow/straypackettest.cpp
@@ -103,4 +103,130 @@
   CHECK(site.resets.empty());
 }
 
+// Guards against FLOW (b): one packet of a search reaches more than two other
+// upstreams of a large service while the agent of its own restarts.
+TEST_CASE("a search while an agent restarts reaches no other upstream") {
+  FlowSite site(kBalancers, 11, 3, {kBalancers, 4});
+  const StrayPacketLog log(&site);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  FlowSite::Agent* owner = OpenAndReport(&site, tuple);
+  REQUIRE(owner != nullptr);
+  std::size_t balancer = 1;
+  SUBCASE("at a balancer that does not know the flow") {
+    StopAgent(&site, owner);
+  }
+  SUBCASE("at a balancer that has restarted with the agent away") {
+    StopAgent(&site, owner);
+    site.StartBalancer(0);
+    site.Publish();
+    site.Run(milliseconds(300));
+    balancer = 0;
+  }
+  site.SendRequest(balancer, tuple, 2);
+  site.Run(StrayPacketLog::kFlowTime);
+  CHECK(log.MostStrayPackets(tuple) < StrayPacketLog::kMinStrayPackets);
+  CHECK(site.resets.empty());
+}
+
+// Guards against FLOW (b): a search reaches other upstreams in addition to its
+// own, and the caller then pauses for longer than 2 s.
+TEST_CASE("a search for an idle flow reaches no other upstream") {
+  FlowSite site(kBalancers, 11, 3, {kBalancers, 4});
+  const StrayPacketLog log(&site);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  REQUIRE(OpenAndReport(&site, tuple) != nullptr);
+  site.Run(StrayPacketLog::kFlowTime);
+  site.SendRequest(1, tuple, 2);
+  site.Run(StrayPacketLog::kFlowTime);
+  CHECK(log.MostStrayPackets(tuple) < StrayPacketLog::kMinStrayPackets);
+  CHECK(site.AnswersTo(tuple) == 2);
+}
+
+// Guards against FLOW: flows of agents that restarted together, as planned, are
+// searched for at balancers that restarted, too.
+TEST_CASE("flows are found after most agents and a balancer have restarted") {
+  constexpr std::size_t kAgents = 11;
+  constexpr std::size_t kRestarted = 8;
+  constexpr std::uint32_t kFlows = 30;
+  FlowSite site(kBalancers, kAgents, 3, {kBalancers, 4});
+  const StrayPacketLog log(&site);
+  for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
+    site.Open(caller % kBalancers, FlowSite::Tuple(caller));
+    site.Run(milliseconds(30));
+  }
+  site.Run(milliseconds(300));
+  for (std::size_t i = 0; i < kRestarted; ++i) {
+    site.agents[i]->tracker->BeginStop(site.clock.Now());
+  }
+  site.Run(FlowTracker::kNoticeTime);
+  for (std::size_t i = 0; i < kRestarted; ++i) {
+    site.agents[i]->running = false;
+  }
+  site.Run(milliseconds(2000));
+  std::size_t back = kRestarted;
+  SUBCASE("all agents are back") {}
+  SUBCASE("two agents stay away") {
+    back -= 2;
+  }
+  for (std::size_t i = 0; i < back; ++i) {
+    site.StartAgent(i);
+  }
+  for (std::size_t balancer = 0; balancer < kBalancers; ++balancer) {
+    if (balancer != 1) {
+      site.StartBalancer(balancer);
+    }
+  }
+  site.Publish();
+  site.Run(milliseconds(300));
+  for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
+    site.SendRequest(0, FlowSite::Tuple(caller), 2);
+  }
+  site.Run(StrayPacketLog::kFlowTime);
+  CHECK(site.resets.empty());
+  for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
+    const FlowTuple tuple = FlowSite::Tuple(caller);
+    CHECK(log.MostStrayPackets(tuple) < StrayPacketLog::kMinStrayPackets);
+    const FlowSite::Agent* owner = site.OwnerOf(tuple);
+    REQUIRE(owner != nullptr);
+    CHECK(site.AnswersTo(tuple) == (owner->running ? 2 : 1));
+  }
+}
+
+// Guards against FLOW (b) after agents were killed: their successors do not
+// know the flows, and a balancer that restarted with them searches for them.
+TEST_CASE("flows of killed agents are found through other balancers' records") {
+  constexpr std::size_t kAgents = 11;
+  constexpr std::size_t kKilled = 5;
+  constexpr std::uint32_t kFlows = 30;
+  FlowSite site(2, kAgents, 3, {1, 4});
+  const StrayPacketLog log(&site);
+  for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
+    site.Open(caller % 2, FlowSite::Tuple(caller));
+    site.Run(milliseconds(30));
+  }
+  site.Run(milliseconds(300));
+  for (std::size_t i = 0; i < kKilled; ++i) {
+    site.agents[i]->running = false;
+  }
+  site.Run(milliseconds(200));
+  for (std::size_t i = 0; i < kKilled; ++i) {
+    site.StartAgent(i);
+  }
+  site.Run(milliseconds(100));
+  site.StartBalancer(0);
+  site.Publish();
+  site.Run(milliseconds(1500));
+  site.resets.clear();
+  for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
+    site.SendRequest(0, FlowSite::Tuple(caller), 2);
+  }
+  site.Run(StrayPacketLog::kFlowTime);
+  CHECK(site.resets.empty());
+  for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
+    const FlowTuple tuple = FlowSite::Tuple(caller);
+    CHECK(log.MostStrayPackets(tuple) < StrayPacketLog::kMinStrayPackets);
+    CHECK(site.AnswersTo(tuple) == 2);
+  }
+}
+
 }  // namespace fireflytrestle
