--- a/src/flowagent/flowagentprocess.cpp
+++ b/src/flowagent/flowagentprocess.cpp
@@ -44,6 +44,7 @@
   tracker.service = m_settings.service;
   tracker.zone = m_settings.node.zone;
   tracker.flow_lifetime = m_settings.node.flow_lifetime;
+  tracker.is_first_run = m_settings.first_start == "true";
   for (const SocketAddress& seed : m_settings.seeds) {
     tracker.seeds.push_back({seed.ipv4, m_settings.balancer_port});
   }
@@ -60,7 +61,10 @@
                       *reason = m_stopping ? "stopping" : "";
                       return !m_stopping;
                     }}));
-  m_logger->Write(LogLevel::kInfo, "started", "agent started");
+  m_logger->Write(LogLevel::kInfo, "started",
+                  m_settings.first_start == "true"
+                      ? "agent started together with its site"
+                      : "agent started");
   return {};
 }
 
--- a/src/flowagent/flowagentsettings.cpp
+++ b/src/flowagent/flowagentsettings.cpp
@@ -25,6 +25,11 @@
       std::numeric_limits<std::uint16_t>::max(), [out](std::uint64_t port) {
         out->balancer_port = static_cast<std::uint16_t>(port);
       }));
+  table.push_back(ChoiceSetting(
+      "first-start", {"false", "true"},
+      "Whether the whole site starts for the first time, so that no upstream "
+      "holds a flow; false at every later start",
+      "false", &out->first_start));
   return table;
 }
 
--- a/src/flowagent/flowagentsettings.h
+++ b/src/flowagent/flowagentsettings.h
@@ -16,6 +16,8 @@
   /// Addresses of balancer instances; their ports are ignored.
   std::vector<SocketAddress> seeds;
   std::uint16_t balancer_port = 0;
+  /// "true" or "false".
+  std::string first_start;
 };
 
 /// Returns the settings, which write their values to \p out; it must outlive
--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -28,6 +28,9 @@
 /// in the load for a short flow.
 constexpr double kLongFlowWeight = 0.01;
 constexpr double kMilli = 1000.0;
+/// Balancers return a handover at the agent's first report, which they get
+/// within 50 ms of their first heartbeat to the new run.
+constexpr milliseconds kHandoverTimeout{200};
 /// Callers pause for seconds between the requests of a long-lived flow.
 constexpr std::chrono::seconds kUseTimeout{10};
 
@@ -73,6 +76,7 @@
   if (status.incarnation != m_incarnation) {
     m_previous_incarnation = m_incarnation;
     m_incarnation = status.incarnation;
+    m_run_heard = now;
   }
   m_report_number = status.number;
   m_phase = status.phase;
@@ -82,6 +86,7 @@
   m_placed_short = 0;
   m_placed_long = 0;
   m_reported_service = status.service;
+  m_needs_handover = status.needs_handover;
   if (!m_listed) {
     m_zone = status.zone;
   }
@@ -104,6 +109,10 @@
   RequestReports(AgentFailureDetector::kReportInterval, now);
 }
 
+bool AgentPeer::LacksHandover(TimePoint now) const {
+  return m_needs_handover && now - m_run_heard >= kHandoverTimeout;
+}
+
 bool AgentPeer::IsReporting() const {
   return reports_wanted() && m_promised_interval.count() > 0 &&
          m_promised_interval <= m_wanted_interval && !m_silent &&
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -73,6 +73,10 @@
     return m_last_report && m_oldest_flow < time;
   }
 
+  /// Whether the agent has started a moment ago, says that it needs a handover,
+  /// and would have got one by now if it had been stopped as planned before.
+  bool LacksHandover(TimePoint now) const;
+
   /// Whether the upstream has ended: its agent reports it as down, or its
   /// registration is missing and its agent has never reported.
   bool IsGone() const {
@@ -145,6 +149,9 @@
 
   // From the agent's reports and answers.
   std::string m_reported_service;
+  bool m_needs_handover = false;
+  /// When the agent's present run was first heard of.
+  TimePoint m_run_heard{};
   std::optional<TimePoint> m_last_report;
   /// Interval of reports according to the last one; 0 if none follow.
   std::chrono::milliseconds m_promised_interval{0};
--- a/src/libflow/balancertable.cpp
+++ b/src/libflow/balancertable.cpp
@@ -1,6 +1,7 @@
 #include "libflow/balancertable.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "libflow/agentfailuredetector.h"
 #include "libflow/nodemessagecodec.h"
@@ -155,6 +156,23 @@
   return new_balancers;
 }
 
+std::vector<SocketAddress> BalancerTable::HandoverReceivers(
+    const std::string& zone) const {
+  using Rank = std::tuple<bool, TimePoint, SocketAddress>;
+  std::vector<Rank> ranked;
+  for (const auto& [address, balancer] : m_balancers) {
+    ranked.emplace_back(balancer.zone == zone, balancer.last_heartbeat,
+                        address);
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  ranked.resize(std::min(ranked.size(), kMaxHandoverReceivers));
+  std::vector<SocketAddress> receivers;
+  for (const auto& [is_near, heard, address] : ranked) {
+    receivers.push_back(address);
+  }
+  return receivers;
+}
+
 std::vector<SocketAddress> BalancerTable::ExpireSilent(TimePoint now) {
   std::vector<SocketAddress> silent;
   std::erase_if(m_balancers, [&](const auto& item) {
--- a/src/libflow/balancertable.h
+++ b/src/libflow/balancertable.h
@@ -60,6 +60,11 @@
   /// announced to other balancers; all of them in turn.
   std::vector<SocketAddress> NextNewBalancers(TimePoint now);
 
+  /// Returns the balancers that keep the flows of the agent while it restarts:
+  /// up to kMaxHandoverReceivers, those of \p zone first, and of these the ones
+  /// that sent a message last.
+  std::vector<SocketAddress> HandoverReceivers(const std::string& zone) const;
+
   /// Removes the balancers that have sent no heartbeat for 5 minutes, and
   /// returns them.
   std::vector<SocketAddress> ExpireSilent(TimePoint now);
@@ -67,6 +72,8 @@
   std::vector<SocketAddress> Addresses() const;
 
  private:
+  static constexpr std::size_t kMaxHandoverReceivers = 6;
+
   struct Balancer {
     BalancerHeartbeat heartbeat;
     /// Empty until the balancer has sent a request.
--- a/src/libflow/flowdecision.cpp
+++ b/src/libflow/flowdecision.cpp
@@ -10,6 +10,8 @@
       return "flow_placed_again";
     case FlowDecision::Kind::kSearched:
       return "flow_searched";
+    case FlowDecision::Kind::kProbed:
+      return "flow_probed";
     case FlowDecision::Kind::kFound:
       return "flow_found";
     case FlowDecision::Kind::kReset:
--- a/src/libflow/flowdecision.h
+++ b/src/libflow/flowdecision.h
@@ -20,9 +20,12 @@
     /// A new flow was sent to another agent, because the previous one did not
     /// answer or did not accept it.
     kPlacedAgain,
-    /// The owner of a flow is unknown; its packet is sent to all agents of its
-    /// service as a query.
+    /// The owner of a flow is unknown; the agents are asked for it.
     kSearched,
+    /// The packet of such a flow was sent to an agent that does not know
+    /// whether
+    /// its upstream holds the flow.
+    kProbed,
     /// An agent reported that its upstream holds a flow that was searched for.
     kFound,
     /// A reset was sent to the caller; the reason states why.
--- /dev/null
+++ b/src/libflow/flowknowledge.cpp
@@ -0,0 +1,35 @@
+#include "libflow/flowknowledge.h"
+
+#include "libflow/nodemessage.h"
+
+namespace fireflytrestle {
+
+FlowKnowledge::FlowKnowledge(bool is_first_run,
+                             std::chrono::milliseconds flow_lifetime,
+                             TimePoint now)
+    : m_is_complete(is_first_run),
+      m_flow_lifetime(flow_lifetime),
+      m_started(now) {}
+
+void FlowKnowledge::OnHandover(const FlowHandover& handover) {
+  m_has_handover |= handover.incarnation != Incarnation{};
+  if (handover.incarnation != m_incarnation || handover.round > m_round) {
+    m_incarnation = handover.incarnation;
+    m_round = handover.round;
+    m_parts.clear();
+  }
+  if (handover.round == m_round) {
+    m_parts.insert(handover.part);
+  }
+  m_is_complete |= handover.is_complete && m_parts.size() == handover.parts;
+}
+
+bool FlowKnowledge::IsComplete(TimePoint now) const {
+  return m_is_complete || now - m_started >= m_flow_lifetime;
+}
+
+bool FlowKnowledge::NeedsHandover(TimePoint now) const {
+  return !m_is_complete && !m_has_handover && now - m_started < kRecoveryTime;
+}
+
+}  // namespace fireflytrestle
--- a/src/libflow/flowlossdetector.cpp
+++ b/src/libflow/flowlossdetector.cpp
@@ -1,6 +1,7 @@
 #include "libflow/flowlossdetector.h"
 
 #include "libflow/agenttable.h"
+#include "libflow/flowknowledge.h"
 #include "libsite/storefollower.h"
 
 namespace fireflytrestle {
@@ -65,6 +66,18 @@
   return 2 * reporting >= m_agents.all().size();
 }
 
+bool FlowLossDetector::IsOutage(TimePoint now) const {
+  if (m_first_view == TimePoint{} ||
+      now - m_first_view >= FlowKnowledge::kRecoveryTime) {
+    return false;
+  }
+  std::size_t started = 0;
+  for (const auto& [address, agent] : m_agents.all()) {
+    started += agent->LacksHandover(now) ? 1 : 0;
+  }
+  return 2 * started >= m_agents.all().size();
+}
+
 bool FlowLossDetector::ShouldDeferSearches(TimePoint now) const {
   return now - m_first_view < kDeferPeriod &&
          m_searches >= kMaxRecoverySearches && IsRecovering(now);
--- a/src/libflow/flowlossdetector.h
+++ b/src/libflow/flowlossdetector.h
@@ -45,6 +45,11 @@
   /// those whose agents have not reported since.
   bool AreAllFlowsLost(TimePoint now) const;
 
+  /// Whether this process and at least half of the agents started a moment ago
+  /// without a handover: an unplanned outage has ended most processes, and only
+  /// the upstreams know their flows.
+  bool IsOutage(TimePoint now) const;
+
   /// Whether a flow without a known owner is most likely one of many that an
   /// outage ended. A search for each of them would use up the links.
   bool ShouldDeferSearches(TimePoint now) const;
--- a/src/libflow/flowownertable.h
+++ b/src/libflow/flowownertable.h
@@ -43,12 +43,20 @@
   std::vector<AgentPeerPtr> pending_agents;
   /// The search waits for reports of the flow instead of querying agents.
   bool is_deferred = false;
+  /// Agents that answered the query without knowing whether their upstreams
+  /// hold the flow.
+  std::vector<AgentPeerPtr> unsure_agents;
+  /// Of these, the ones that have got the packet since \ref probes_began.
+  std::vector<AgentPeerPtr> probed_agents;
+  TimePoint probes_began{};
   /// Agents that a search queries in later stages if no agent queried so far
   /// holds the flow; the next stage is the last element.
   std::vector<std::vector<AgentPeerPtr>> later_stages;
   /// When the present stage of the search began.
   TimePoint stage_began{};
-  /// The packet that these agents get, or the owner after a deferred search.
+  /// Agents that have got \ref search_packet.
+  std::vector<AgentPeerPtr> packet_receivers;
+  /// The caller's last packet, which waits for the end of the search.
   std::vector<std::uint8_t> search_packet;
   /// Agents that returned the SYN.
   std::vector<AgentPeerPtr> refused_by;
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -7,6 +7,7 @@
 #include "libflow/agentselector.h"
 #include "libflow/flowoutput.h"
 #include "libflow/flowpacket.h"
+#include "libflow/handoversender.h"
 #include "libflow/nodemessagecodec.h"
 #include "libflow/packetcodec.h"
 
@@ -43,6 +44,12 @@
 /// Bytes that a packet to an agent is longer than the caller's packet: the
 /// enclosing message and the headers of UDP and IP.
 constexpr std::size_t kDeliverOverheadBytes = 100;
+/// Bytes of a query with the headers of UDP and IP.
+constexpr std::size_t kQueryBytes = 70;
+/// Maximum number of upstreams that do not hold a flow which its packets may
+/// reach within kProbeWindow.
+constexpr std::size_t kMaxStrayProbes = 2;
+constexpr milliseconds kProbeWindow{2000};
 /// Maximum number of agents that one SYN is sent to.
 constexpr std::uint8_t kMaxPlacements = 4;
 /// Limit on repeated placements: 30 % of the new flows, and a constant minimum
@@ -240,15 +247,19 @@
       entry->pending_agents.push_back(std::exchange(entry->owner, nullptr));
     }
   }
-  if (entry->is_deferred) {
-    entry->search_packet.assign(datagram.begin(), datagram.end());
-    return;
-  }
   if (entry->state == State::kSearching) {
-    if (!TryEndSearch(tuple, entry, now)) {
-      if (QueryNextStage(tuple, entry, now)) {
-        QueryPendingAgents(tuple, *entry, datagram, now);
-      }
+    HoldPacket(datagram, packet, entry);
+    if (entry->is_deferred) {
+      return;
+    }
+    // What an unsure agent knows may have changed since its answer.
+    auto& pending = entry->pending_agents;
+    pending.insert(pending.end(), entry->unsure_agents.begin(),
+                   entry->unsure_agents.end());
+    entry->unsure_agents.clear();
+    if (!TryEndSearch(tuple, entry, now) && QueryNextStage(tuple, entry, now) &&
+        !AskAgents(tuple, pending, entry, now)) {
+      AbandonSearch(tuple, packet.acknowledgment, now);
     }
     return;
   }
@@ -284,21 +295,31 @@
   entry->state = State::kSearching;
   entry->placed = now;
   entry->stage_began = now;
+  HoldPacket(datagram, packet, entry);
   if (m_agents.all().size() >= kMinStagedAgents &&
       m_loss_detector.ShouldDeferSearches(now) && !packet.reset) {
     entry->is_deferred = true;
-    entry->search_packet.assign(datagram.begin(), datagram.end());
     m_deferred_searches.push_back(tuple);
     Report(Kind::kHeld, tuple, nullptr, "owner_unknown", now);
     return;
   }
-  QueryAgents(packet, tuple, entry, datagram, now);
+  QueryAgents(packet, tuple, entry, now);
+}
+
+void FlowRouter::HoldPacket(std::span<const std::uint8_t> datagram,
+                            const FlowPacket& packet,
+                            FlowEntry* entry) const {
+  auto& held = entry->search_packet;
+  if (held.empty() || packet.data_bytes > 0 ||
+      m_codec.Decode(held)->data_bytes == 0) {
+    held.assign(datagram.begin(), datagram.end());
+    entry->packet_receivers.clear();
+  }
 }
 
 void FlowRouter::QueryAgents(const FlowPacket& packet,
                              const FlowTuple& tuple,
                              FlowEntry* entry,
-                             std::span<const std::uint8_t> datagram,
                              TimePoint now) {
   const auto route = m_view->routes.find(tuple.route);
   if (route == m_view->routes.end()) {
@@ -335,11 +356,11 @@
     pending.insert(pending.end(), other_zones.begin(), other_zones.end());
   }
   if (!entry->later_stages.empty()) {
-    entry->search_packet.assign(datagram.begin(), datagram.end());
     m_staged_searches.push_back(tuple);
   }
-  Report(Kind::kSearched, tuple, nullptr, "owner_unknown", now);
-  if (QueryPendingAgents(tuple, *entry, datagram, now)) {
+  Report(Kind::kSearched, tuple, nullptr,
+         m_loss_detector.IsOutage(now) ? "outage" : "owner_unknown", now);
+  if (AskAgents(tuple, pending, entry, now)) {
     return;
   }
   if (packet.reset) {
@@ -375,8 +396,7 @@
     entry->is_deferred = false;
     entry->placed = now;
     entry->stage_began = now;
-    const auto datagram = std::exchange(entry->search_packet, {});
-    QueryAgents(*m_codec.Decode(datagram), tuple, entry, datagram, now);
+    QueryAgents(*m_codec.Decode(entry->search_packet), tuple, entry, now);
   }
 }
 
@@ -386,17 +406,12 @@
   if (entry->later_stages.empty()) {
     return true;
   }
-  FlowEntry stage = *entry;
-  stage.pending_agents = std::move(entry->later_stages.back());
+  const std::vector<AgentPeerPtr> stage = std::move(entry->later_stages.back());
   entry->later_stages.pop_back();
-  if (entry->later_stages.empty()) {
-    entry->search_packet.clear();
-  }
   entry->stage_began = now;
-  entry->pending_agents.insert(entry->pending_agents.end(),
-                               stage.pending_agents.begin(),
-                               stage.pending_agents.end());
-  if (QueryPendingAgents(tuple, stage, stage.search_packet, now)) {
+  entry->pending_agents.insert(entry->pending_agents.end(), stage.begin(),
+                               stage.end());
+  if (AskAgents(tuple, stage, entry, now)) {
     return true;
   }
   AbandonSearch(tuple, entry->acknowledgment, now);
@@ -428,28 +443,106 @@
   });
 }
 
-bool FlowRouter::QueryPendingAgents(const FlowTuple& tuple,
-                                    const FlowEntry& entry,
-                                    std::span<const std::uint8_t> datagram,
-                                    TimePoint now) {
+bool FlowRouter::AskAgents(const FlowTuple& tuple,
+                           const std::vector<AgentPeerPtr>& agents,
+                           FlowEntry* entry,
+                           TimePoint now) {
+  const bool sends_packet =
+      m_loss_detector.IsOutage(now) && !entry->search_packet.empty();
   const std::size_t bytes =
-      entry.pending_agents.size() * (datagram.size() + kDeliverOverheadBytes);
-  if (!m_search_bytes.TryTake(now, static_cast<double>(bytes))) {
+      sends_packet ? entry->search_packet.size() + kDeliverOverheadBytes
+                   : kQueryBytes;
+  if (!m_search_bytes.TryTake(now,
+                              static_cast<double>(agents.size() * bytes))) {
     Report(Kind::kDropped, tuple, nullptr, "search_budget", now);
     return false;
   }
-  for (const AgentPeerPtr& agent : entry.pending_agents) {
-    if (now - entry.placed >= kQueryTimeout) {
+  const std::optional<FlowPacket> packet = m_codec.Decode(entry->search_packet);
+  const FlowQuery query{tuple, entry->acknowledgment, packet && packet->reset};
+  for (const AgentPeerPtr& agent : agents) {
+    if (now - entry->placed >= kQueryTimeout) {
       // Reports show whether the agent that has not answered is lost.
       agent->OnForwarded(now);
     }
-    m_output->SendToNode(
-        agent->address(),
-        DeliverMessage{agent->service(), true, entry.flow_class, datagram});
+    if (sends_packet) {
+      SendSearchPacket(agent, entry);
+    } else {
+      m_output->SendToNode(agent->address(), query);
+    }
   }
   return true;
 }
 
+void FlowRouter::SendSearchPacket(const AgentPeerPtr& agent, FlowEntry* entry) {
+  entry->packet_receivers.push_back(agent);
+  m_output->SendToNode(agent->address(),
+                       DeliverMessage{agent->service(), true, entry->flow_class,
+                                      entry->search_packet});
+}
+
+bool FlowRouter::IsLost(const AgentPeer& agent, TimePoint now) const {
+  return agent.IsGone() ||
+         (agent.silent() && m_failure_detector.IsReliable(now));
+}
+
+bool FlowRouter::AreAllAgentsPresent(const FlowEntry& entry,
+                                     TimePoint now) const {
+  return entry.later_stages.empty() &&
+         m_loss_detector.AreAllUpstreamsKnown(now) &&
+         std::all_of(
+             entry.pending_agents.begin(), entry.pending_agents.end(),
+             [&](const AgentPeerPtr& agent) { return IsLost(*agent, now); });
+}
+
+void FlowRouter::ProbeUnsureAgents(const FlowTuple& tuple,
+                                   FlowEntry* entry,
+                                   TimePoint now) {
+  auto& unsure = entry->unsure_agents;
+  if (unsure.empty() || entry->search_packet.empty()) {
+    return;
+  }
+  // After an outage the upstreams alone know their flows, and callers wait.
+  const bool is_outage = m_loss_detector.IsOutage(now);
+  // Otherwise the packet must not reach other upstreams while the one that may
+  // hold the flow cannot get it.
+  if (!is_outage && !AreAllAgentsPresent(*entry, now)) {
+    return;
+  }
+  auto& probed = entry->probed_agents;
+  if (now - entry->probes_began >= kProbeWindow) {
+    entry->probes_began = now;
+    probed.clear();
+  }
+  const auto is_probed = [&](const AgentPeerPtr& agent) {
+    return std::find(probed.begin(), probed.end(), agent) != probed.end();
+  };
+  const auto is_limited = [&](const AgentPeerPtr& agent) {
+    return !is_outage && !agent->LacksHandover(now) && !is_probed(agent);
+  };
+  // If few agents are left, one of them is the owner of an open flow.
+  const auto limited = static_cast<std::size_t>(
+      std::count_if(unsure.begin(), unsure.end(), is_limited));
+  const std::size_t max_probed = probed.size() + limited <= kMaxStrayProbes + 1
+                                     ? kMaxStrayProbes + 1
+                                     : kMaxStrayProbes;
+  const std::size_t bytes = entry->search_packet.size() + kDeliverOverheadBytes;
+  std::erase_if(unsure, [&](const AgentPeerPtr& agent) {
+    const bool counts = is_limited(agent);
+    if ((counts && probed.size() >= max_probed) ||
+        !m_search_bytes.TryTake(now, static_cast<double>(bytes))) {
+      return false;
+    }
+    if (counts) {
+      probed.push_back(agent);
+    }
+    Report(Kind::kProbed, tuple, agent.get(),
+           is_outage ? "outage" : "owner_unknown", now);
+    SendSearchPacket(agent, entry);
+    entry->pending_agents.push_back(agent);
+    return true;
+  });
+}
+
 FlowEntry* FlowRouter::AddEntry(const FlowPacket& packet,
                                 const FlowTuple& tuple,
                                 const RouteSettings& route,
@@ -467,18 +560,24 @@
 bool FlowRouter::TryEndSearch(const FlowTuple& tuple,
                               FlowEntry* entry,
                               TimePoint now) {
-  const bool trusted = m_failure_detector.IsReliable(now);
   const std::vector<AgentPeerPtr>& pending = entry->pending_agents;
   const auto is_lost = [&](const AgentPeerPtr& agent) {
-    return agent->IsGone() || (trusted && agent->silent());
+    return IsLost(*agent, now);
+  };
+  const auto have_all_answered = [&] {
+    return std::all_of(pending.begin(), pending.end(),
+                       [&](const AgentPeerPtr& agent) {
+                         return is_lost(agent) || !agent->last_report();
+                       });
   };
-  const bool all_answered = std::all_of(
-      pending.begin(), pending.end(), [&](const AgentPeerPtr& agent) {
-        return is_lost(agent) || !agent->last_report();
-      });
-  if (all_answered && !entry->later_stages.empty()) {
+  if (have_all_answered() && !entry->later_stages.empty()) {
     return !QueryNextStage(tuple, entry, now);
   }
+  ProbeUnsureAgents(tuple, entry, now);
+  if (!entry->unsure_agents.empty()) {
+    return false;
+  }
+  const bool all_answered = have_all_answered();
   if (all_answered) {
     m_loss_detector.OnOrphanedFlow(tuple);
   }
@@ -553,6 +652,8 @@
     OnReturn(source, *returned, now);
   } else if (const auto* unknown = std::get_if<FlowUnknownMessage>(&message)) {
     OnFlowUnknown(source, *unknown, now);
+  } else if (const auto* handover = std::get_if<FlowHandover>(&message)) {
+    OnHandover(source, *handover, now);
   } else {
     Report(Kind::kDropped, {}, nullptr, "unexpected_message", now);
   }
@@ -593,14 +694,19 @@
   if (!agent || entry == nullptr) {
     return;
   }
-  Report(Kind::kUnknownThere, tuple, agent.get(), "", now);
+  Report(Kind::kUnknownThere, tuple, agent.get(),
+         message.is_certain ? "" : "not_known", now);
   if (entry->state == State::kSearching) {
     if (Remove(&entry->pending_agents, agent)) {
+      if (!message.is_certain) {
+        entry->unsure_agents.push_back(agent);
+      }
       TryEndSearch(tuple, entry, now);
     }
     return;
   }
-  if (entry->state == State::kOpen && entry->owner == agent) {
+  if (message.is_certain && entry->state == State::kOpen &&
+      entry->owner == agent) {
     // The flow is removed, so that the caller's next packet starts a search for
     // the owner.
     m_flows.Erase(tuple);
@@ -615,13 +721,9 @@
     // A late copy must not show an agent as alive that has been lost since. If
     // two reports have changed places, the flows of the first one still count.
     Report(Kind::kDropped, {}, before.get(), "stale_report", now);
-    std::vector<ReportedFlow> unknown = status.opened;
-    std::erase_if(unknown, [&](const ReportedFlow& flow) {
-      const FlowEntry* entry = m_flows.Find(flow.tuple);
-      return before->silent() || before->incarnation() != status.incarnation ||
-             (entry != nullptr && entry->state != State::kSearching);
-    });
-    ApplyReportedFlows(before, unknown, now);
+    if (!before->silent() && before->incarnation() == status.incarnation) {
+      ApplyReportedFlows(before, WithoutKnown(status.opened), now);
+    }
     return;
   }
   const AgentPhase phase = before ? before->phase() : AgentPhase::kServing;
@@ -633,10 +735,14 @@
     agent->set_silent(false);
     Report(Kind::kPeerBack, {}, agent.get(), "report", now);
   }
-  if (was_silent ||
-      (incarnation != Incarnation{} && incarnation != status.incarnation)) {
+  const bool is_new_run =
+      incarnation != Incarnation{} && incarnation != status.incarnation;
+  if (was_silent || is_new_run) {
     m_heartbeats.OnAgentBack(*agent, now);
   }
+  if (status.needs_handover) {
+    ReturnFlows(agent, status, is_new_run);
+  }
   if (phase != status.phase) {
     Report(Kind::kPeerPhase, {}, agent.get(), ToString(status.phase), now);
   }
@@ -647,6 +753,54 @@
   ProcessPendingPackets(now);
 }
 
+std::vector<ReportedFlow> FlowRouter::WithoutKnown(
+    std::vector<ReportedFlow> flows) {
+  std::erase_if(flows, [&](const ReportedFlow& flow) {
+    const FlowEntry* entry = m_flows.Find(flow.tuple);
+    return entry != nullptr && entry->state != State::kSearching;
+  });
+  return flows;
+}
+
+void FlowRouter::OnHandover(const SocketAddress& source,
+                            const FlowHandover& handover,
+                            TimePoint now) {
+  const AgentPeerPtr agent = m_agents.Find(source);
+  if (!agent) {
+    Report(Kind::kDropped, {}, nullptr, "handover_of_unknown", now);
+    return;
+  }
+  m_handovers.Add(source, handover, now);
+  ApplyReportedFlows(agent, WithoutKnown(handover.flows), now);
+}
+
+void FlowRouter::ReturnFlows(const AgentPeerPtr& agent,
+                             const AgentStatus& status,
+                             bool is_new_run) {
+  std::string service;
+  std::vector<FlowHandover> parts =
+      m_handovers.Take(agent->address(), status.incarnation, &service);
+  for (FlowHandover& part : parts) {
+    part.service = service;
+    m_output->SendToNode(agent->address(), part);
+  }
+  if (!parts.empty() || !is_new_run) {
+    return;
+  }
+  std::vector<ReportedFlow> owned;
+  for (const auto& [tuple, entry] : m_flows.flows()) {
+    if (entry.owner == agent && entry.state == State::kOpen &&
+        entry.service == status.service) {
+      owned.push_back({tuple, entry.acknowledgment});
+    }
+  }
+  if (!owned.empty()) {
+    FlowHandover head;
+    head.service = status.service;
+    SendInParts(agent->address(), owned, head, m_output);
+  }
+}
+
 void FlowRouter::ApplyReportedFlows(const AgentPeerPtr& agent,
                                     const std::vector<ReportedFlow>& flows,
                                     TimePoint now) {
@@ -670,9 +824,13 @@
     entry->owner = agent;
     entry->service = agent->service();
     entry->pending_agents.clear();
+    entry->unsure_agents.clear();
     entry->later_stages.clear();
+    entry->is_deferred = false;
     const auto packet = std::exchange(entry->search_packet, {});
-    if (std::exchange(entry->is_deferred, false)) {
+    const auto receivers = std::exchange(entry->packet_receivers, {});
+    if (!packet.empty() && std::find(receivers.begin(), receivers.end(),
+                                     agent) == receivers.end()) {
       Deliver(*entry, packet, now);
     }
   }
@@ -714,6 +872,7 @@
         std::max<Duration>(m_view->flow_idle_timeout, m_settings.flow_lifetime);
     m_flows.EraseIdle(now - idle);
     m_agents.Prune(now);
+    m_handovers.Prune(now);
   }
 }
 
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -14,6 +14,7 @@
 #include "libflow/flowdecision.h"
 #include "libflow/flowlossdetector.h"
 #include "libflow/flowownertable.h"
+#include "libflow/handoverstore.h"
 #include "libflow/heartbeatscheduler.h"
 #include "libflow/pendingpacketqueue.h"
 
@@ -29,9 +30,9 @@
 ///
 /// New flows go to the agent with the least load. Packets of open flows go to
 /// their owner, the agent whose upstream holds the flow; it is known from the
-/// placement or from reports of the agents. If it is unknown, the packet itself
-/// is sent as a query to all agents of the service. The adapter calls OnTick()
-/// every 50 ms.
+/// placement or from reports of the agents. If it is unknown, the agents are
+/// asked for the flow, and the packet waits for the owner. The adapter calls
+/// OnTick() every 50 ms.
 class FlowRouter {
  public:
   struct Settings {
@@ -42,7 +43,7 @@
     /// Minimum time without packets after which a flow is removed.
     std::chrono::milliseconds flow_lifetime{60000};
     /// Limit on the bytes per second of searches for owners; each search sends
-    /// a packet to every agent of a service.
+    /// a query to every agent of a service.
     std::uint64_t search_bytes_per_second = 62'500'000;
   };
 
@@ -113,20 +114,36 @@
                       const FlowTuple& tuple,
                       const RouteSettings& route,
                       TimePoint now);
-  /// Sends the packet as a query to the agents that have not answered yet, if
-  /// the bandwidth limit of searches allows it. Returns whether it does.
-  bool QueryPendingAgents(const FlowTuple& tuple,
-                          const FlowEntry& entry,
-                          std::span<const std::uint8_t> datagram,
-                          TimePoint now);
+  /// Keeps the packet for the owner that a search finds. A packet with data is
+  /// not replaced by one without.
+  void HoldPacket(std::span<const std::uint8_t> datagram,
+                  const FlowPacket& packet,
+                  FlowEntry* entry) const;
+  /// Asks \p agents for the flow, if the bandwidth limit of searches allows it.
+  /// Returns whether it does. After an outage they get the packet itself: most
+  /// of them could not answer a query.
+  bool AskAgents(const FlowTuple& tuple,
+                 const std::vector<AgentPeerPtr>& agents,
+                 FlowEntry* entry,
+                 TimePoint now);
+  /// Sends the packet of the search to an agent that may hold the flow.
+  void SendSearchPacket(const AgentPeerPtr& agent, FlowEntry* entry);
   /// Queries the agents of the route's services, in a large service those of
   /// the own zone first, and last all other agents: the flow may have opened
   /// under a configuration in which the route had another service.
   void QueryAgents(const FlowPacket& packet,
                    const FlowTuple& tuple,
                    FlowEntry* entry,
-                   std::span<const std::uint8_t> datagram,
                    TimePoint now);
+  /// Whether every agent whose upstream may hold a flow has answered its query
+  /// or is lost.
+  bool AreAllAgentsPresent(const FlowEntry& entry, TimePoint now) const;
+  bool IsLost(const AgentPeer& agent, TimePoint now) const;
+  /// Sends the packet to unsure agents, if no other agent's upstream may hold
+  /// the flow and few enough upstreams get it that do not.
+  void ProbeUnsureAgents(const FlowTuple& tuple,
+                         FlowEntry* entry,
+                         TimePoint now);
   /// Ends the deferred searches that have waited long enough: the flow is lost,
   /// or agents are queried.
   void EndDeferredSearches(TimePoint now);
@@ -138,11 +155,11 @@
   /// Ends a search that no agent is left to answer, or begins its next stage.
   /// Returns whether it ended and the flow was removed.
   bool TryEndSearch(const FlowTuple& tuple, FlowEntry* entry, TimePoint now);
-  /// Forwards a packet to the agent that holds the flow or gets its SYN.
   /// Removes a flow whose search the bandwidth limit does not allow.
   void AbandonSearch(const FlowTuple& tuple,
                      std::uint32_t acknowledgment,
                      TimePoint now);
+  /// Forwards a packet to the agent that holds the flow or gets its SYN.
   void Deliver(const FlowEntry& entry,
                std::span<const std::uint8_t> datagram,
                TimePoint now);
@@ -163,6 +180,17 @@
   void OnStatus(const SocketAddress& source,
                 const AgentStatus& status,
                 TimePoint now);
+  /// Keeps the flows of an agent that is about to stop.
+  void OnHandover(const SocketAddress& source,
+                  const FlowHandover& handover,
+                  TimePoint now);
+  /// Sends an agent the flows of its previous run: those that this run handed
+  /// over, else, once for each run, those whose owner it is here.
+  void ReturnFlows(const AgentPeerPtr& agent,
+                   const AgentStatus& status,
+                   bool is_new_run);
+  /// Returns those of \p flows that are unknown or searched for.
+  std::vector<ReportedFlow> WithoutKnown(std::vector<ReportedFlow> flows);
   /// Records that the agent's upstream holds the flows.
   void ApplyReportedFlows(const AgentPeerPtr& agent,
                           const std::vector<ReportedFlow>& flows,
@@ -188,6 +216,7 @@
   HeartbeatScheduler m_heartbeats;
   FlowLossDetector m_loss_detector;
   FlowOwnerTable m_flows;
+  HandoverStore m_handovers;
   AgentFailureDetector m_failure_detector;
   PendingPacketQueue m_pending_packets;
   bool m_can_route = false;
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -7,6 +7,7 @@
 #include "libflow/agentfailuredetector.h"
 #include "libflow/flowoutput.h"
 #include "libflow/flowpacket.h"
+#include "libflow/handoversender.h"
 #include "libflow/nodemessagecodec.h"
 #include "libflow/packetcodec.h"
 
@@ -37,6 +38,11 @@
   return static_cast<std::int32_t>(a - b) > 0;
 }
 
+/// Whether the upstream has not confirmed that it holds the flow.
+bool IsUnproven(const UpstreamFlow& flow) {
+  return flow.state == State::kUnconfirmed || flow.state == State::kRestored;
+}
+
 /// Whether no two packets of one flow have these acknowledgment numbers within
 /// its retransmissions: an upstream has at most 16 packets of 1,200 bytes in
 /// flight, and the numbers of two flows differ by more almost always.
@@ -54,6 +60,7 @@
     : m_settings(std::move(settings)),
       m_codec(codec),
       m_output(output),
+      m_knowledge(m_settings.is_first_run, m_settings.flow_lifetime, now),
       m_reporter(m_settings.seeds, output, now),
       m_cold_start(now),
       m_next_sweep(now + kSweepInterval) {}
@@ -68,6 +75,10 @@
     OnHeartbeat(source, *heartbeat, now);
   } else if (const auto* request = std::get_if<ReportRequest>(&message)) {
     OnReportRequest(source, *request, now);
+  } else if (const auto* query = std::get_if<FlowQuery>(&message)) {
+    OnFlowQuery(source, *query, now);
+  } else if (const auto* handover = std::get_if<FlowHandover>(&message)) {
+    OnHandover(source, *handover, now);
   } else {
     Report(Kind::kDropped, {}, source, "unexpected_message");
   }
@@ -119,11 +130,10 @@
                             const FlowTuple& tuple,
                             TimePoint now) {
   const auto known = m_flows.find(tuple);
-  const bool copy = known != m_flows.end() &&
-                    known->second.syn_sequence == packet.sequence &&
-                    known->second.state != State::kUnconfirmed &&
-                    known->second.state != State::kAbsent && m_view_confirmed &&
-                    !IsOfOtherService(m_entry_revision);
+  const bool copy =
+      known != m_flows.end() && known->second.syn_sequence == packet.sequence &&
+      !IsUnproven(known->second) && known->second.state != State::kAbsent &&
+      m_view_confirmed && !IsOfOtherService(m_entry_revision);
   if (!copy) {
     const ReturnReason refusal = RejectReason(now);
     if (refusal != ReturnReason::kCount) {
@@ -162,6 +172,119 @@
   m_output->SendToUpstream(message.packet);
 }
 
+FlowTracker::Holding FlowTracker::HoldingOf(const FlowQuery& query,
+                                            TimePoint now) const {
+  const Holding unknown =
+      m_knowledge.IsComplete(now) ? Holding::kNotHeld : Holding::kUnsure;
+  const auto position = m_flows.find(query.tuple);
+  if (position == m_flows.end()) {
+    return unknown;
+  }
+  const UpstreamFlow& flow = position->second;
+  const bool is_other_flow =
+      flow.acknowledgment != 0 && !query.is_reset &&
+      IsFarFrom(query.acknowledgment, flow.acknowledgment);
+  switch (flow.state) {
+    case State::kOpening:
+      return query.is_reset ||
+                     (flow.answered &&
+                      query.acknowledgment - flow.upstream_sequence <= 1)
+                 ? Holding::kHeld
+                 : Holding::kNotHeld;
+    case State::kUnconfirmed:
+      return Holding::kUnsure;
+    case State::kRestored:
+      return is_other_flow ? Holding::kUnsure : Holding::kHeld;
+    case State::kAbsent:
+      return is_other_flow ? unknown : Holding::kNotHeld;
+    case State::kOpen:
+      return is_other_flow ? Holding::kNotHeld : Holding::kHeld;
+    case State::kClosing:
+      break;
+  }
+  return Holding::kHeld;
+}
+
+void FlowTracker::OnFlowQuery(const SocketAddress& source,
+                              const FlowQuery& query,
+                              TimePoint now) {
+  Introduce(source, now);
+  if (m_phase == AgentPhase::kUpstreamDown) {
+    SendUnknown(source, query.tuple, ToString(m_phase));
+    return;
+  }
+  const auto position = m_flows.find(query.tuple);
+  const bool is_known = position != m_flows.end();
+  switch (HoldingOf(query, now)) {
+    case Holding::kHeld:
+      position->second.last_packet = now;
+      m_reporter.SendTo(source, MakeStatus(now),
+                        {{query.tuple, position->second.acknowledgment}},
+                        m_balancers);
+      return;
+    case Holding::kNotHeld:
+      if (is_known && position->second.state == State::kOpening) {
+        // The caller has acknowledged the SYN+ACK of another upstream.
+        position->second.acknowledgment = query.acknowledgment;
+        MarkAbsent(&position->second);
+      } else if (is_known && position->second.state == State::kAbsent) {
+        position->second.last_packet = now;
+        position->second.acknowledgment = query.acknowledgment;
+      }
+      SendUnknown(source, query.tuple, "not_held");
+      return;
+    case Holding::kUnsure:
+      if (m_phase == AgentPhase::kStopping) {
+        // The upstream can get no packet for the time of the restart. Without
+        // an answer the search waits for the next run of the agent.
+        Report(Kind::kDropped, query.tuple, source, "stopping");
+        return;
+      }
+      SendUnknown(source, query.tuple, "not_known", false);
+  }
+}
+
+void FlowTracker::OnHandover(const SocketAddress& source,
+                             const FlowHandover& handover,
+                             TimePoint now) {
+  if (handover.service != m_settings.service) {
+    Report(Kind::kDropped, {}, source, ToString(ReturnReason::kWrongService));
+    return;
+  }
+  m_knowledge.OnHandover(handover);
+  Report(Kind::kPeerPhase, {}, source,
+         handover.is_complete ? "handover" : "handover_incomplete");
+  for (const ReportedFlow& held : handover.flows) {
+    const auto [position, added] = m_flows.try_emplace(held.tuple);
+    if (added) {
+      position->second.state = State::kRestored;
+      position->second.acknowledgment = held.acknowledgment;
+      position->second.last_packet = now;
+    }
+  }
+}
+
+void FlowTracker::SendHandover(TimePoint now) {
+  std::vector<ReportedFlow> held;
+  for (const auto& [tuple, flow] : m_flows) {
+    if (flow.state == State::kOpening && flow.answered) {
+      held.push_back({tuple, flow.upstream_sequence + 1});
+    } else if (flow.state == State::kOpen || flow.state == State::kClosing ||
+               flow.state == State::kRestored) {
+      held.push_back({tuple, flow.acknowledgment});
+    }
+  }
+  FlowHandover message;
+  message.service = m_settings.service;
+  message.incarnation = m_settings.incarnation;
+  message.round = ++m_handover_round;
+  message.is_complete = m_knowledge.IsComplete(now);
+  for (const SocketAddress& balancer :
+       m_balancers.HandoverReceivers(m_settings.zone)) {
+    SendInParts(balancer, held, message, m_output);
+  }
+}
+
 void FlowTracker::OnFlowPacket(const SocketAddress& source,
                                const DeliverMessage& message,
                                const FlowPacket& packet,
@@ -171,6 +294,11 @@
     SendUnknown(source, tuple, ToString(m_phase));
     return;
   }
+  if (message.search && HoldingOf({tuple, packet.acknowledgment, packet.reset},
+                                  now) == Holding::kNotHeld) {
+    SendUnknown(source, tuple, "not_held");
+    return;
+  }
   const auto [position, added] = m_flows.try_emplace(tuple);
   UpstreamFlow& flow = position->second;
   if (flow.state == State::kAbsent &&
@@ -186,6 +314,10 @@
     flow.state = State::kUnconfirmed;
     flow.flow_class = message.flow_class;
     flow.data_sequence = packet.sequence - 1;
+  } else if (flow.state == State::kRestored &&
+             flow.balancer == SocketAddress{}) {
+    flow.flow_class = message.flow_class;
+    flow.data_sequence = packet.sequence - 1;
   }
   if (flow.state == State::kOpen && flow.acknowledgment != 0 && !packet.reset &&
       IsFarFrom(packet.acknowledgment, flow.acknowledgment)) {
@@ -219,9 +351,10 @@
     }
   }
   flow.last_packet = now;
-  if (flow.state == State::kUnconfirmed) {
+  if (IsUnproven(flow)) {
+    const bool restored = flow.state == State::kRestored;
     Report(Kind::kUnconfirmed, tuple, source,
-           message.search ? "search" : "assigned");
+           restored ? "restored" : (message.search ? "search" : "assigned"));
   }
   if (packet.fin || packet.reset) {
     flow.state = State::kClosing;
@@ -360,7 +493,7 @@
     flow.state = State::kUnconfirmed;
   }
   flow.last_packet = now;
-  if (flow.state == State::kUnconfirmed && packet->reset) {
+  if (IsUnproven(flow) && packet->reset) {
     // An upstream also resets flows that it has closed or never had, while the
     // caller's flow may be open at another upstream. The caller must not see
     // such a reset.
@@ -378,7 +511,7 @@
   if (packet->syn) {
     flow.answered = true;
     flow.upstream_sequence = packet->sequence;
-  } else if (flow.state == State::kUnconfirmed) {
+  } else if (IsUnproven(flow)) {
     if (flow.balancer != SocketAddress{}) {
       Report(Kind::kConfirmed, tuple, flow.balancer, "upstream_packet");
     }
@@ -432,7 +565,7 @@
     SendReturn(flow.balancer, ReturnReason::kUpstreamFull, tuple, datagram);
     return;
   }
-  if (flow.state == State::kUnconfirmed || flow.state == State::kAbsent) {
+  if (IsUnproven(flow) || flow.state == State::kAbsent) {
     MarkAbsent(&position->second);
     SendUnknown(flow.balancer, tuple, "handed_back");
     return;
@@ -557,7 +690,14 @@
   m_phase = phase;
   Report(Kind::kPeerPhase, {}, {}, ToString(phase));
   m_notices_until = now + kNoticeTime;
+  SendNotices(now);
+}
+
+void FlowTracker::SendNotices(TimePoint now) {
   m_reporter.SendToAll(MakeStatus(now), m_balancers);
+  if (m_phase == AgentPhase::kStopping) {
+    SendHandover(now);
+  }
 }
 
 void FlowTracker::OnTick(TimePoint now) {
@@ -572,7 +712,7 @@
     SendStatus(now);
   }
   if (now < m_notices_until) {
-    m_reporter.SendToAll(MakeStatus(now), m_balancers);
+    SendNotices(now);
   }
 }
 
@@ -585,8 +725,9 @@
       EndRequest(&flow);
     }
     const Duration idle = now - flow.last_packet;
-    const bool open = flow.state == State::kOpen;
-    if (idle > (open ? m_settings.flow_lifetime : kClosingTimeout)) {
+    const bool may_be_open =
+        flow.state == State::kOpen || flow.state == State::kRestored;
+    if (idle > (may_be_open ? m_settings.flow_lifetime : kClosingTimeout)) {
       EraseFlow(position);
     }
   }
@@ -611,6 +752,7 @@
   status.running =
       m_running + static_cast<std::uint32_t>(m_pending_requests.size());
   status.new_balancers = m_balancers.NextNewBalancers(now);
+  status.needs_handover = m_knowledge.NeedsHandover(now);
   for (const auto& [tuple, flow] : m_flows) {
     const bool counts =
         flow.state == State::kOpening || flow.state == State::kOpen;
@@ -665,9 +807,10 @@
 
 void FlowTracker::SendUnknown(const SocketAddress& balancer,
                               const FlowTuple& tuple,
-                              const char* reason) {
+                              const char* reason,
+                              bool is_certain) {
   Report(Kind::kUnknownThere, tuple, balancer, reason);
-  m_output->SendToNode(balancer, FlowUnknownMessage{tuple});
+  m_output->SendToNode(balancer, FlowUnknownMessage{tuple, is_certain});
 }
 
 void FlowTracker::Report(FlowDecision::Kind kind,
--- a/src/libflow/flowtracker.h
+++ b/src/libflow/flowtracker.h
@@ -9,6 +9,7 @@
 #include "libflow/balancertable.h"
 #include "libflow/coldstartlimiter.h"
 #include "libflow/flowdecision.h"
+#include "libflow/flowknowledge.h"
 #include "libflow/nodemessage.h"
 #include "libflow/pendingrequestqueue.h"
 #include "libflow/statusreporter.h"
@@ -51,6 +52,8 @@
     /// An open flow is removed after this long without a packet. Also the
     /// assumed age of a flow whose opening the agent has not seen.
     std::chrono::milliseconds flow_lifetime{60000};
+    /// No earlier run of the agent has sent a flow to the upstream.
+    bool is_first_run = false;
   };
 
   /// \p codec and \p output must outlive this object.
@@ -91,6 +94,18 @@
   void OnDeliver(const SocketAddress& source,
                  const DeliverMessage& message,
                  TimePoint now);
+  enum class Holding { kHeld, kNotHeld, kUnsure };
+
+  void OnFlowQuery(const SocketAddress& source,
+                   const FlowQuery& query,
+                   TimePoint now);
+  /// Returns whether the upstream holds the flow, as far as the agent knows.
+  Holding HoldingOf(const FlowQuery& query, TimePoint now) const;
+  /// Adds the flows that the upstream held before the agent started.
+  void OnHandover(const SocketAddress& source,
+                  const FlowHandover& handover,
+                  TimePoint now);
+  void SendHandover(TimePoint now);
   void OnHeartbeat(const SocketAddress& source,
                    const BalancerHeartbeat& heartbeat,
                    TimePoint now);
@@ -138,10 +153,11 @@
                   ReturnReason reason,
                   const FlowTuple& tuple,
                   std::span<const std::uint8_t> packet);
-  /// Informs the balancer that the upstream does not hold the flow.
+  /// Informs the balancer that the upstream does not hold the flow, or may not.
   void SendUnknown(const SocketAddress& balancer,
                    const FlowTuple& tuple,
-                   const char* reason);
+                   const char* reason,
+                   bool is_certain = true);
   /// Returns why the upstream may not get a new flow; kCount if it may.
   ReturnReason RejectReason(TimePoint now) const;
   /// Marks the flow as open and adds it to the next status.
@@ -154,6 +170,9 @@
               const SocketAddress& peer,
               const char* reason) const;
   void SetPhase(AgentPhase phase, TimePoint now);
+  /// Tells all balancers the phase, and hands the flows over if the agent
+  /// stops.
+  void SendNotices(TimePoint now);
   /// Returns the age of the flow; the flow lifetime if the agent has not seen
   /// it open.
   std::chrono::milliseconds AgeOf(const UpstreamFlow& flow,
@@ -187,6 +206,8 @@
   FlowOutput* m_output;
   AgentPhase m_phase = AgentPhase::kServing;
   TimePoint m_notices_until{};
+  FlowKnowledge m_knowledge;
+  std::uint64_t m_handover_round = 0;
   UpstreamFlowTable m_flows;
   BalancerTable m_balancers;
   StatusReporter m_reporter;
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -25,8 +25,8 @@
 struct DeliverMessage {
   /// Service to which the agent's upstream belongs according to the balancer.
   std::string_view service;
-  /// The balancer does not know the owner of the flow and sends the packet to
-  /// all agents of the service as a query.
+  /// The balancer does not know the owner of the flow; neither does the agent,
+  /// whose upstream may hold it.
   bool search = false;
   FlowClass flow_class;
   std::span<const std::uint8_t> packet;
@@ -58,9 +58,23 @@
   std::span<const std::uint8_t> packet;
 };
 
-/// Agent to balancer: the upstream does not hold the flow of a packet.
+/// Balancer to agent: asks whether the upstream holds a flow. The agent answers
+/// with a report of the flow, or with FlowUnknownMessage.
+struct FlowQuery {
+  FlowTuple tuple;
+  /// Acknowledgment number of the caller's packet, which tells the flow from
+  /// others on the same port.
+  std::uint32_t acknowledgment = 0;
+  /// The caller's packet is a reset, whose acknowledgment number tells nothing.
+  bool is_reset = false;
+};
+
+/// Agent to balancer: the upstream does not hold the flow of a packet or query.
 struct FlowUnknownMessage {
   FlowTuple tuple;
+  /// False if the agent does not know the flow, but its upstream may hold it
+  /// since before the agent's start. Only in answers to queries.
+  bool is_certain = true;
 };
 
 /// Balancer to agent: liveness, and the entry of the agent's upstream in the
@@ -120,6 +134,24 @@
   std::uint32_t acknowledgment = 0;
 };
 
+/// The flows that an upstream holds, for the next run of its agent. An agent
+/// that is about to stop sends them to balancers, which send them back to its
+/// next run. For an agent that ended without one, balancers send the flows that
+/// were reported to them.
+struct FlowHandover {
+  std::string_view service;
+  /// Run of the agent that has stopped; 0 if a balancer made the list.
+  Incarnation incarnation{};
+  /// Increases each time that the agent sends its flows.
+  std::uint64_t round = 0;
+  /// Number of this message and number of messages in the round.
+  std::uint32_t part = 0;
+  std::uint32_t parts = 1;
+  /// All parts together name every flow of the upstream.
+  bool is_complete = false;
+  std::vector<ReportedFlow> flows;
+};
+
 /// Agent to balancer: liveness, load, and flows that have opened.
 struct AgentStatus {
   Incarnation incarnation{};
@@ -143,6 +175,8 @@
   /// Increases with each report of the agent's current run. Sent only together
   /// with \ref report_interval; 0 if unknown.
   std::uint64_t number = 0;
+  /// The agent has started a moment ago and has got no FlowHandover.
+  bool needs_handover = false;
 };
 
 using NodeMessage = std::variant<DeliverMessage,
@@ -151,7 +185,9 @@
                                  BalancerHeartbeat,
                                  AgentStatus,
                                  SharedChanges,
-                                 ReportRequest>;
+                                 ReportRequest,
+                                 FlowQuery,
+                                 FlowHandover>;
 
 }  // namespace fireflytrestle
 
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -20,16 +20,27 @@
   kAgentStatus,
   kSharedChanges,
   kReportRequest,
+  kFlowQuery,
+  kFlowHandover,
   kCount,
 };
 
 constexpr std::uint32_t kDeliverFields = 8;
 constexpr std::uint32_t kReturnFields = 3;
 constexpr std::uint32_t kFlowUnknownFields = 5;
+/// The same for an answer that is not certain.
+constexpr std::uint32_t kFlowUncertainFields = 6;
+constexpr std::uint32_t kFlowQueryFields = 7;
+constexpr std::uint32_t kFlowHandoverFields = 8;
 constexpr std::uint32_t kHeartbeatFields = 9;
 constexpr std::uint32_t kStatusFields = 10;
 /// The same for a status with a report interval.
 constexpr std::uint32_t kNumberedStatusFields = 12;
+/// Both kinds of status have one more field from an agent that needs a
+/// handover.
+constexpr std::uint32_t kStartedStatusFields = kStatusFields + 1;
+constexpr std::uint32_t kStartedNumberedStatusFields =
+    kNumberedStatusFields + 1;
 constexpr std::uint32_t kReportRequestFields = 3;
 /// The same for a request that names the service of the agent's address.
 constexpr std::uint32_t kServiceReportRequestFields = 5;
@@ -46,6 +57,7 @@
 constexpr std::uint64_t kMax32 = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t kMax64 = std::numeric_limits<std::uint64_t>::max();
 constexpr std::uint64_t kMaxMs = 24ULL * 3600 * 1000;
+constexpr std::uint64_t kMaxHandoverParts = 10'000;
 
 void WriteHead(MsgpackWriter* writer, Kind kind, std::uint32_t fields) {
   writer->WriteArray(fields);
@@ -106,8 +118,19 @@
 }
 
 void Write(MsgpackWriter* writer, const FlowUnknownMessage& message) {
-  WriteHead(writer, Kind::kFlowUnknown, kFlowUnknownFields);
+  WriteHead(writer, Kind::kFlowUnknown,
+            message.is_certain ? kFlowUnknownFields : kFlowUncertainFields);
   WriteTuple(writer, message.tuple);
+  if (!message.is_certain) {
+    writer->WriteBool(message.is_certain);
+  }
+}
+
+void Write(MsgpackWriter* writer, const FlowQuery& message) {
+  WriteHead(writer, Kind::kFlowQuery, kFlowQueryFields);
+  WriteTuple(writer, message.tuple);
+  writer->WriteUint(message.acknowledgment);
+  writer->WriteBool(message.is_reset);
 }
 
 void WriteAddresses(MsgpackWriter* writer,
@@ -155,9 +178,28 @@
   writer->WriteUint(flow.acknowledgment);
 }
 
+void Write(MsgpackWriter* writer, const std::vector<ReportedFlow>& flows) {
+  writer->WriteArray(static_cast<std::uint32_t>(flows.size()));
+  for (const ReportedFlow& flow : flows) {
+    Write(writer, flow);
+  }
+}
+
+void Write(MsgpackWriter* writer, const FlowHandover& message) {
+  WriteHead(writer, Kind::kFlowHandover, kFlowHandoverFields);
+  WriteName(writer, message.service);
+  writer->WriteUint(static_cast<std::uint64_t>(message.incarnation));
+  writer->WriteUint(message.round);
+  writer->WriteUint(message.part);
+  writer->WriteUint(message.parts);
+  writer->WriteBool(message.is_complete);
+  Write(writer, message.flows);
+}
+
 void Write(MsgpackWriter* writer, const AgentStatus& message) {
   WriteHead(writer, Kind::kAgentStatus,
-            message.report_interval ? kNumberedStatusFields : kStatusFields);
+            (message.report_interval ? kNumberedStatusFields : kStatusFields) +
+                (message.needs_handover ? 1 : 0));
   writer->WriteUint(static_cast<std::uint64_t>(message.incarnation));
   WriteName(writer, message.service);
   WriteName(writer, message.zone);
@@ -165,15 +207,15 @@
   writer->WriteUint(message.running);
   writer->WriteUint(message.long_flows);
   WriteTime(writer, message.oldest_flow);
-  writer->WriteArray(static_cast<std::uint32_t>(message.opened.size()));
-  for (const ReportedFlow& flow : message.opened) {
-    Write(writer, flow);
-  }
+  Write(writer, message.opened);
   WriteAddresses(writer, message.new_balancers);
   if (message.report_interval) {
     WriteTime(writer, *message.report_interval);
     writer->WriteUint(message.number);
   }
+  if (message.needs_handover) {
+    writer->WriteBool(message.needs_handover);
+  }
 }
 
 void Write(MsgpackWriter* writer, const ReportRequest& message) {
@@ -234,6 +276,20 @@
   return {ReadTuple(reader)};
 }
 
+FlowUnknownMessage ReadFlowUncertain(MsgpackReader* reader) {
+  FlowUnknownMessage message = ReadFlowUnknown(reader);
+  message.is_certain = reader->ReadBool();
+  return message;
+}
+
+FlowQuery ReadFlowQuery(MsgpackReader* reader) {
+  FlowQuery message;
+  message.tuple = ReadTuple(reader);
+  reader->Read(&message.acknowledgment, 0, kMax32);
+  message.is_reset = reader->ReadBool();
+  return message;
+}
+
 BalancerHeartbeat ReadHeartbeat(MsgpackReader* reader) {
   BalancerHeartbeat message;
   reader->Read(&message.incarnation, 0, kMax64);
@@ -255,6 +311,31 @@
   return flow;
 }
 
+std::vector<ReportedFlow> ReadFlows(MsgpackReader* reader) {
+  std::vector<ReportedFlow> flows;
+  const std::uint32_t count = reader->ReadArray();
+  if (count > kMaxFlowsPerStatus) {
+    reader->Fail(WireError::kOutOfRange);
+    return flows;
+  }
+  for (std::uint32_t i = 0; i < count && reader->ok(); ++i) {
+    flows.push_back(ReadFlow(reader));
+  }
+  return flows;
+}
+
+FlowHandover ReadFlowHandover(MsgpackReader* reader) {
+  FlowHandover message;
+  message.service = ReadName(reader);
+  reader->Read(&message.incarnation, 0, kMax64);
+  reader->Read(&message.round, 0, kMax64);
+  reader->Read(&message.part, 0, kMaxHandoverParts);
+  reader->Read(&message.parts, 1, kMaxHandoverParts);
+  message.is_complete = reader->ReadBool();
+  message.flows = ReadFlows(reader);
+  return message;
+}
+
 AgentStatus ReadStatus(MsgpackReader* reader) {
   AgentStatus message;
   reader->Read(&message.incarnation, 0, kMax64);
@@ -265,14 +346,7 @@
   reader->Read(&message.running, 0, kMax32);
   reader->Read(&message.long_flows, 0, kMax32);
   message.oldest_flow = ReadTime(reader);
-  const std::uint32_t count = reader->ReadArray();
-  if (count > kMaxFlowsPerStatus) {
-    reader->Fail(WireError::kOutOfRange);
-    return message;
-  }
-  for (std::uint32_t i = 0; i < count && reader->ok(); ++i) {
-    message.opened.push_back(ReadFlow(reader));
-  }
+  message.opened = ReadFlows(reader);
   message.new_balancers = ReadAddresses(reader, kMaxNewBalancers);
   return message;
 }
@@ -284,6 +358,13 @@
   return message;
 }
 
+template <auto Reader>
+AgentStatus ReadStarted(MsgpackReader* reader) {
+  AgentStatus message = Reader(reader);
+  message.needs_handover = reader->ReadBool();
+  return message;
+}
+
 ReportRequest ReadReportRequest(MsgpackReader* reader) {
   ReportRequest message;
   message.zone = ReadName(reader);
@@ -344,13 +425,19 @@
     {Kind::kDeliver, kDeliverFields, ReadAs<ReadDeliver>},
     {Kind::kReturn, kReturnFields, ReadAs<ReadReturn>},
     {Kind::kFlowUnknown, kFlowUnknownFields, ReadAs<ReadFlowUnknown>},
+    {Kind::kFlowUnknown, kFlowUncertainFields, ReadAs<ReadFlowUncertain>},
     {Kind::kBalancerHeartbeat, kHeartbeatFields, ReadAs<ReadHeartbeat>},
     {Kind::kAgentStatus, kStatusFields, ReadAs<ReadStatus>},
     {Kind::kAgentStatus, kNumberedStatusFields, ReadAs<ReadNumberedStatus>},
+    {Kind::kAgentStatus, kStartedStatusFields, ReadAs<ReadStarted<ReadStatus>>},
+    {Kind::kAgentStatus, kStartedNumberedStatusFields,
+     ReadAs<ReadStarted<ReadNumberedStatus>>},
     {Kind::kSharedChanges, kSharedChangesFields, ReadAs<ReadSharedChanges>},
     {Kind::kReportRequest, kReportRequestFields, ReadAs<ReadReportRequest>},
     {Kind::kReportRequest, kServiceReportRequestFields,
      ReadAs<ReadServiceReportRequest>},
+    {Kind::kFlowQuery, kFlowQueryFields, ReadAs<ReadFlowQuery>},
+    {Kind::kFlowHandover, kFlowHandoverFields, ReadAs<ReadFlowHandover>},
 };
 
 }  // namespace
--- a/src/libflow/upstreamflow.h
+++ b/src/libflow/upstreamflow.h
@@ -18,6 +18,9 @@
     /// A packet of a flow that the agent did not know has passed; the upstream
     /// may not hold the flow.
     kUnconfirmed,
+    /// The upstream held the flow before the agent started, according to a
+    /// handover; the agent has seen no packet of it from the upstream yet.
+    kRestored,
     /// The upstream does not hold the flow: it has returned or reset one of its
     /// packets, with about the acknowledgment number \ref acknowledgment.
     kAbsent,
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -52,6 +52,7 @@
       }
       const bool is_packet = std::holds_alternative<DeliverMessage>(message);
       m_site->delivered += is_packet ? 1 : 0;
+      m_site->queried += std::holds_alternative<FlowQuery>(message) ? 1 : 0;
       if (!is_packet) {
         ++m_site->control_sent[m_self];
         ++m_site->control_received[node];
@@ -179,16 +180,19 @@
     agent->upstream = std::make_unique<FakeUpstream>(
         slots, static_cast<std::uint32_t>(agents.size()));
     agents.push_back(std::move(agent));
-    StartAgent(agents.size() - 1);
+    StartAgent(agents.size() - 1, true);
     return *agents.back();
   }
 
-  void StartAgent(std::size_t index) {
+  /// Starts or restarts the process; the first run of an agent begins together
+  /// with its upstream.
+  void StartAgent(std::size_t index, bool is_first_run = false) {
     Agent& agent = *agents[index];
     FlowTracker::Settings settings;
     settings.incarnation = Incarnation{++m_incarnations};
     settings.service = agent.entry.service;
     settings.zone = agent.zone;
+    settings.is_first_run = is_first_run;
     settings.seeds = {{0x0A010001U, kNodePort}};
     agent.tracker = std::make_unique<FlowTracker>(
         settings, codec, agent.output.get(), clock.Now());
@@ -395,6 +399,8 @@
   std::size_t caller_packets = 0;
   /// Number of callers' packets that balancers sent to agents.
   std::size_t delivered = 0;
+  /// Number of queries that balancers sent to agents.
+  std::size_t queried = 0;
   /// Number of other messages between processes, by sender and by receiver.
   std::map<SocketAddress, std::size_t> control_sent;
   std::map<SocketAddress, std::size_t> control_received;
--- a/tests/libflow/nodemessagecodectest.cpp
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -109,8 +109,61 @@
   status.number = 0xFFFFFFFFFFFFFFFF;
   const auto numbered = DecodeNodeMessage(Encode(status));
   REQUIRE(numbered);
+  CHECK_FALSE(std::get<AgentStatus>(*numbered).needs_handover);
   CHECK(std::get<AgentStatus>(*numbered).report_interval == milliseconds(0));
   CHECK(std::get<AgentStatus>(*numbered).number == status.number);
+  status.needs_handover = true;
+  const auto started = DecodeNodeMessage(Encode(status));
+  REQUIRE(started);
+  CHECK(std::get<AgentStatus>(*started).needs_handover);
+  CHECK(std::get<AgentStatus>(*started).number == status.number);
+  status.report_interval.reset();
+  const auto unnumbered = DecodeNodeMessage(Encode(status));
+  REQUIRE(unnumbered);
+  CHECK(std::get<AgentStatus>(*unnumbered).needs_handover);
+  CHECK_FALSE(std::get<AgentStatus>(*unnumbered).report_interval);
+}
+
+TEST_CASE("queries and their answers are decoded unchanged") {
+  const FlowTuple tuple{{0xFFFFFFFF, 0xFFFF}, {1, 2}};
+  const auto query = DecodeNodeMessage(Encode(FlowQuery{tuple, 77, true}));
+  REQUIRE(query);
+  CHECK(std::get<FlowQuery>(*query).tuple == tuple);
+  CHECK(std::get<FlowQuery>(*query).acknowledgment == 77);
+  CHECK(std::get<FlowQuery>(*query).is_reset);
+  for (const bool is_certain : {false, true}) {
+    const auto answer =
+        DecodeNodeMessage(Encode(FlowUnknownMessage{tuple, is_certain}));
+    REQUIRE(answer);
+    CHECK(std::get<FlowUnknownMessage>(*answer).tuple == tuple);
+    CHECK(std::get<FlowUnknownMessage>(*answer).is_certain == is_certain);
+  }
+}
+
+TEST_CASE("the largest handover fits into a datagram and is unchanged") {
+  FlowHandover handover;
+  handover.service = "a-service-with-quite-a-long-name";
+  handover.incarnation = Incarnation{0xFFFFFFFFFFFFFFFF};
+  handover.round = 0xFFFFFFFFFFFFFFFF;
+  handover.part = 9'999;
+  handover.parts = 10'000;
+  handover.is_complete = true;
+  handover.flows.assign(
+      kMaxFlowsPerStatus,
+      {{{0xFFFFFFFF, 0xFFFF}, {0xFFFFFFFF, 0xFFFF}}, 0xFFFFFFFF});
+  const std::vector<std::uint8_t> bytes = Encode(handover);
+  const auto decoded = DecodeNodeMessage(bytes);
+  REQUIRE(decoded);
+  const auto& read = std::get<FlowHandover>(*decoded);
+  CHECK(read.service == handover.service);
+  CHECK(read.incarnation == handover.incarnation);
+  CHECK(read.round == handover.round);
+  CHECK(read.part == handover.part);
+  CHECK(read.parts == handover.parts);
+  CHECK(read.is_complete);
+  CHECK(read.flows.size() == kMaxFlowsPerStatus);
+  handover.flows.push_back({});
+  CHECK_FALSE(DecodeNodeMessage(Encode(handover)));
 }
 
 // Guards against an agent that no balancer hears any more (FLOW), because one
@@ -150,6 +203,9 @@
       DeliverMessage{"counter", false, {}, {}},
       ReturnMessage{ReturnReason::kUpstreamFull, {}},
       FlowUnknownMessage{},
+      FlowUnknownMessage{{}, false},
+      FlowQuery{},
+      FlowHandover{"counter", Incarnation{1}, 2, 0, 1, true, {{}, {}}},
       heartbeat,
       Status(2),
       changes,
--- a/tests/libflow/reportsubsettest.cpp
+++ b/tests/libflow/reportsubsettest.cpp
@@ -367,28 +367,32 @@
   const bool in_zone = site.OwnerOf(tuple) == nullptr;
   REQUIRE(in_zone);
   // Balancer 1 is in another zone than the one that placed the flow.
+  site.queried = 0;
   site.delivered = 0;
   SUBCASE("an agent of another zone holds the flow") {
     site.SendRequest(1, tuple);
-    CHECK(site.delivered == 60);
+    CHECK(site.queried == 60);
   }
   SUBCASE("an agent of the own zone holds the flow") {
     site.StartBalancer(0);
     site.Publish();
     site.Run(milliseconds(200));
+    site.queried = 0;
     site.delivered = 0;
     site.SendRequest(0, tuple);
-    CHECK(site.delivered == 20);
+    CHECK(site.queried == 20);
   }
   SUBCASE("an agent of the own zone does not answer") {
     FlowSite::Agent* lost = site.agents[1].get();
     lost->running = false;
     site.SendRequest(1, tuple);
-    CHECK(site.delivered == 20);
+    CHECK(site.queried == 20);
     site.Run(milliseconds(60));
-    CHECK(site.delivered == 60);
+    CHECK(site.queried == 60);
   }
   site.Run(milliseconds(300));
+  // The owner alone gets the packet.
+  CHECK(site.delivered == 1);
   CHECK(site.AnswersTo(tuple) == 1);
   CHECK(site.resets.empty());
 }
--- a/tests/libflow/straypackettest.cpp
+++ b/tests/libflow/straypackettest.cpp
@@ -85,6 +85,9 @@
   earlier.acknowledgment = 900'000'000;
   earlier.data_bytes = 10;
   SUBCASE("which opens after that") {
+    // An agent that was killed does not know what its upstream holds.
+    site.StartAgent(0);
+    site.Publish();
     site.SendFromCaller(0, earlier);
     site.resets.clear();
     site.Open(0, tuple);
