Do not end an open flow by a returned packet of another flow on its port

Cause: the record of a flow takes the acknowledgment number of the last packet that was passed on. If the upstream returned the packet of the other flow, the agent marked the tuple as absent under the number of the flow that the upstream holds; if the flow was known from the upstream's own packet only, it had no number, took that of the other flow, and was reset with upstream_lost_flow.

Change: a returned packet with a distant acknowledgment number belongs to another flow and changes nothing, and a flow that is known from the upstream's packets takes its number from them. Also two findings of the linter in code that was added before.

--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -149,7 +149,6 @@
 
   // From the agent's reports and answers.
   std::string m_reported_service;
-  bool m_needs_handover = false;
   /// When the agent's present run was first heard of.
   TimePoint m_run_heard{};
   std::optional<TimePoint> m_last_report;
@@ -160,6 +159,7 @@
   /// Number of the last report; 0 if the agent does not number them.
   std::uint64_t m_report_number = 0;
   AgentPhase m_phase = AgentPhase::kServing;
+  bool m_needs_handover = false;
   std::uint32_t m_running = 0;
   std::uint32_t m_long_flows = 0;
   /// Opening time of the oldest open flow, according to the last report.
--- a/src/libflow/balancertable.cpp
+++ b/src/libflow/balancertable.cpp
@@ -167,6 +167,7 @@
   std::sort(ranked.rbegin(), ranked.rend());
   ranked.resize(std::min(ranked.size(), kMaxHandoverReceivers));
   std::vector<SocketAddress> receivers;
+  receivers.reserve(ranked.size());
   for (const auto& [is_near, heard, address] : ranked) {
     receivers.push_back(address);
   }
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -493,6 +493,10 @@
     flow.state = State::kUnconfirmed;
   }
   flow.last_packet = now;
+  if (flow.acknowledgment == 0 && !packet->reset) {
+    // The caller acknowledges numbers of about this size.
+    flow.acknowledgment = packet->sequence;
+  }
   if (IsUnproven(flow) && packet->reset) {
     // An upstream also resets flows that it has closed or never had, while the
     // caller's flow may be open at another upstream. The caller must not see
@@ -565,6 +569,12 @@
     SendReturn(flow.balancer, ReturnReason::kUpstreamFull, tuple, datagram);
     return;
   }
+  if (flow.acknowledgment != 0 &&
+      IsFarFrom(packet.acknowledgment, flow.acknowledgment)) {
+    // The packet belongs to another flow on the port.
+    SendUnknown(flow.balancer, tuple, "other_flow");
+    return;
+  }
   if (IsUnproven(flow) || flow.state == State::kAbsent) {
     MarkAbsent(&position->second);
     SendUnknown(flow.balancer, tuple, "handed_back");
--- a/tests/libflow/straypackettest.cpp
+++ b/tests/libflow/straypackettest.cpp
@@ -232,4 +232,45 @@
   }
 }
 
+// Guards against FLOW at a restarted agent that gets packets of two flows on
+// one port: the packet of the earlier one, which the upstream returns, must not
+// count for the flow that the upstream holds.
+TEST_CASE("a returned packet of another flow on the port ends no open flow") {
+  FlowSite site(1, 1);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(300));
+  FlowSite::Agent* agent = site.agents[0].get();
+  agent->upstream->work = milliseconds(500);
+  FlowPacket earlier = FlowSite::Packet(tuple);
+  earlier.ack = true;
+  earlier.acknowledgment = 900'000'000;
+  earlier.data_bytes = 10;
+  site.StartAgent(0);
+  SUBCASE("while the agent waits for the upstream to confirm its flow") {
+    site.Publish();
+    site.delayed = agent;
+    site.SendFromCaller(0, earlier);
+    site.SendRequest(0, tuple, 2);
+    site.ReleaseUpstreamPackets();
+  }
+  SUBCASE("after a packet of the upstream in its flow") {
+    FlowPacket answer = FlowSite::Packet({tuple.route, tuple.caller});
+    answer.ack = true;
+    answer.sequence = site.SynAckSequence(tuple) + 1;
+    answer.data_bytes = 1;
+    std::vector<std::uint8_t> bytes = PlainCodec::Encode(answer);
+    agent->tracker->OnUpstreamPacket(bytes, site.clock.Now());
+    site.SendFromCaller(0, earlier);
+  }
+  std::size_t arrivals = 0;
+  site.on_upstream_packet = [&](const FlowSite::Agent&, const FlowPacket&) {
+    ++arrivals;
+  };
+  site.SendRequest(0, tuple, 3);
+  CHECK(arrivals == 1);
+  site.Run(milliseconds(1200));
+  CHECK(site.resets.empty());
+}
+
 }  // namespace fireflytrestle
