Ask an agent whose reports are overdue before its flows are reset

What callers saw: idempotent flows that their upstream held were reset with agent_silent after three reports of the agent to one balancer were lost, although the agent and its upstream ran.

Cause: a missing report was the only evidence. Regular reports are sent every 100 ms and not repeated, so a short burst of loss looks like a lost agent.

Change: from 100 ms before the timeout on, a balancer sends the agent a LivenessQuery at each tick, which the agent answers with a report at once. It counts as silent only if it has left at least two queries unanswered. Queries are sent, and count, only while the balancer can judge agents at all; one suspicion costs two or three messages, and a balancer that is cut off sends no more than two for each agent. The first query of a suspicion is logged as peer_phase with overdue; a peer_silent that does not follow means that the agent answered.

Measured: "three reports that are lost in a row reset no flow" failed at all 20 phases of loss and tick without the queries, and passes with them. A lost agent's flows are still reset within 450 ms at each of 20 phases. The checks of control messages per process hold unchanged.

--- a/src/libflow/agentfailuredetector.cpp
+++ b/src/libflow/agentfailuredetector.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 /// Of the agents that report every 500 ms, two thirds report within
 /// kSilenceTimeout; half of these have to.
 constexpr std::size_t kRemoteQuorumDivisor = 3;
@@ -53,25 +55,35 @@
       (fresh > 0 && 2 * fresh >= expected) ||
       (fresh_remote > 0 && kRemoteQuorumDivisor * fresh_remote >= remote);
   std::vector<AgentPeerPtr> silenced;
-  if (!IsReliable(now)) {
-    return silenced;
-  }
+  m_overdue.clear();
+  const bool is_reliable = IsReliable(now);
   for (const auto& [address, agent] : agents.all()) {
+    if (!is_reliable) {
+      agent->ClearQueries();
+      continue;
+    }
     if (!IsExpected(*agent)) {
       continue;
     }
     const bool stopping = agent->phase() == AgentPhase::kStopping;
-    if (TimeSinceReport(*agent, now) >=
-        (stopping ? kStopGrace : SilenceTimeoutFor(*agent))) {
+    const milliseconds timeout =
+        stopping ? kStopGrace : SilenceTimeoutFor(*agent);
+    const Duration age = TimeSinceReport(*agent, now);
+    if (age < timeout - kQueryTime || now - agent->last_query() < kAnswerTime) {
+      continue;
+    }
+    if (age >= timeout && agent->unanswered_queries() >= kMinQueries) {
       agent->set_silent(true);
       silenced.push_back(agent);
+    } else {
+      agent->OnQueried(now);
+      m_overdue.push_back(agent);
     }
   }
   return silenced;
 }
 
-std::chrono::milliseconds AgentFailureDetector::SilenceTimeoutFor(
-    const AgentPeer& agent) {
+milliseconds AgentFailureDetector::SilenceTimeoutFor(const AgentPeer& agent) {
   return agent.IsReporting()
              ? agent.wanted_interval() * kMissedReports + kDelayAllowance
              : kRequestTimeout;
--- a/src/libflow/agentfailuredetector.h
+++ b/src/libflow/agentfailuredetector.h
@@ -12,7 +12,9 @@
 /// judge that reliably.
 ///
 /// A process that was paused, or that gets reports from too few agents, is
-/// likely at fault itself and must not act on the silence of others.
+/// likely at fault itself and must not act on the silence of others. An agent
+/// counts as silent only if it also left queries unanswered: a few lost reports
+/// do not show that it is lost.
 class AgentFailureDetector {
  public:
   /// An agent that reports every kReportInterval is silent after this long
@@ -31,11 +33,24 @@
   /// request is silent: the time of ten requests, one every 50 ms.
   static constexpr std::chrono::milliseconds kRequestTimeout{500};
 
+  /// A report is overdue, and the agent is queried, this long before the agent
+  /// counts as silent: the time of two queries, one at each tick.
+  static constexpr std::chrono::milliseconds kQueryTime{100};
+  /// Number of queries that an agent must leave unanswered before it counts as
+  /// silent, since regular reports may have been lost.
+  static constexpr int kMinQueries = 2;
+  /// Minimum time for the answer to a query: an agent answers at once, and
+  /// ticks are due every 50 ms.
+  static constexpr std::chrono::milliseconds kAnswerTime{40};
+
   /// Returns the agents that have become silent, and marks them; none while the
   /// detector is not reliable. An agent that announced its stop becomes silent
   /// only after kStopGrace.
   std::vector<AgentPeerPtr> OnTick(const AgentTable& agents, TimePoint now);
 
+  /// Agents that the last OnTick() found overdue; they have to be queried now.
+  const std::vector<AgentPeerPtr>& overdue() const { return m_overdue; }
+
   /// Whether at least half of the agents from which reports are wanted and
   /// which are not marked as silent report, and at least one; or enough of
   /// those that report infrequently.
@@ -55,6 +70,7 @@
   TimePoint m_last_tick{};
   TimePoint m_resumed{};
   bool m_quorum = false;
+  std::vector<AgentPeerPtr> m_overdue;
 };
 
 }  // namespace fireflytrestle
--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -71,6 +71,7 @@
 
 void AgentPeer::OnStatus(const AgentStatus& status, TimePoint now) {
   m_last_report = now;
+  m_unanswered_queries = 0;
   m_promised_interval =
       status.report_interval.value_or(AgentFailureDetector::kReportInterval);
   if (status.incarnation != m_incarnation) {
@@ -102,6 +103,12 @@
 void AgentPeer::CancelReports() {
   m_wanted_interval = milliseconds(0);
   m_silent = false;
+  m_unanswered_queries = 0;
+}
+
+void AgentPeer::OnQueried(TimePoint now) {
+  ++m_unanswered_queries;
+  m_last_query = now;
 }
 
 void AgentPeer::OnForwarded(TimePoint now) {
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -45,6 +45,14 @@
   /// Whether the agent reports as often as requested and is not silent.
   bool IsReporting() const;
 
+  /// Records that the agent was asked for a report that is overdue.
+  void OnQueried(TimePoint now);
+  /// Discards the queries that were sent while answers could not be expected.
+  void ClearQueries() { m_unanswered_queries = 0; }
+  /// Number of queries since the last report.
+  int unanswered_queries() const { return m_unanswered_queries; }
+  TimePoint last_query() const { return m_last_query; }
+
   /// Records that a packet was forwarded to the agent, and requests frequent
   /// reports.
   void OnForwarded(TimePoint now);
@@ -143,6 +151,8 @@
   TimePoint m_cold_until{};
   std::uint32_t m_cold_rate_milli = 0;
 
+  int m_unanswered_queries = 0;
+  TimePoint m_last_query{};
   std::chrono::milliseconds m_wanted_interval{0};
   TimePoint m_reports_wanted_since{};
   TimePoint m_last_forwarded{};
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -862,6 +862,12 @@
     Report(Kind::kPeerSilent, {}, agent.get(), "no_report", now);
     OnAgentSilent(agent, now);
   }
+  for (const AgentPeerPtr& agent : m_failure_detector.overdue()) {
+    if (agent->unanswered_queries() == 1) {
+      Report(Kind::kPeerPhase, {}, agent.get(), "overdue", now);
+    }
+    m_output->SendToNode(agent->address(), LivenessQuery{});
+  }
   AdvanceSearches(now);
   EndDeferredSearches(now);
   m_subscriptions.OnTick(m_agents, now);
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -79,6 +79,9 @@
     OnFlowQuery(source, *query, now);
   } else if (const auto* handover = std::get_if<FlowHandover>(&message)) {
     OnHandover(source, *handover, now);
+  } else if (std::holds_alternative<LivenessQuery>(message)) {
+    Introduce(source, now);
+    m_reporter.SendTo(source, MakeStatus(now), {}, m_balancers);
   } else {
     Report(Kind::kDropped, {}, source, "unexpected_message");
   }
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -69,6 +69,10 @@
   bool is_reset = false;
 };
 
+/// Balancer to agent: the reports of the agent are overdue. The agent answers
+/// with a report at once.
+struct LivenessQuery {};
+
 /// Agent to balancer: the upstream does not hold the flow of a packet or query.
 struct FlowUnknownMessage {
   FlowTuple tuple;
@@ -187,7 +191,8 @@
                                  SharedChanges,
                                  ReportRequest,
                                  FlowQuery,
-                                 FlowHandover>;
+                                 FlowHandover,
+                                 LivenessQuery>;
 
 }  // namespace fireflytrestle
 
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -22,6 +22,7 @@
   kReportRequest,
   kFlowQuery,
   kFlowHandover,
+  kLivenessQuery,
   kCount,
 };
 
@@ -32,6 +33,7 @@
 constexpr std::uint32_t kFlowUncertainFields = 6;
 constexpr std::uint32_t kFlowQueryFields = 7;
 constexpr std::uint32_t kFlowHandoverFields = 8;
+constexpr std::uint32_t kLivenessQueryFields = 1;
 constexpr std::uint32_t kHeartbeatFields = 9;
 constexpr std::uint32_t kStatusFields = 10;
 /// The same for a status with a report interval.
@@ -196,6 +198,10 @@
   Write(writer, message.flows);
 }
 
+void Write(MsgpackWriter* writer, const LivenessQuery& /*message*/) {
+  WriteHead(writer, Kind::kLivenessQuery, kLivenessQueryFields);
+}
+
 void Write(MsgpackWriter* writer, const AgentStatus& message) {
   WriteHead(writer, Kind::kAgentStatus,
             (message.report_interval ? kNumberedStatusFields : kStatusFields) +
@@ -336,6 +342,10 @@
   return message;
 }
 
+LivenessQuery ReadLivenessQuery(MsgpackReader* /*reader*/) {
+  return {};
+}
+
 AgentStatus ReadStatus(MsgpackReader* reader) {
   AgentStatus message;
   reader->Read(&message.incarnation, 0, kMax64);
@@ -438,6 +448,7 @@
      ReadAs<ReadServiceReportRequest>},
     {Kind::kFlowQuery, kFlowQueryFields, ReadAs<ReadFlowQuery>},
     {Kind::kFlowHandover, kFlowHandoverFields, ReadAs<ReadFlowHandover>},
+    {Kind::kLivenessQuery, kLivenessQueryFields, ReadAs<ReadLivenessQuery>},
 };
 
 }  // namespace
--- a/tests/libflow/agentfailuretest.cpp
+++ b/tests/libflow/agentfailuretest.cpp
@@ -37,6 +37,64 @@
   CHECK(site.ResetsOf(non_idempotent) == 0);
 }
 
+// Guards against resets of open flows (FLOW) whose agent runs, while its
+// reports are lost.
+TEST_CASE("three reports that are lost in a row reset no flow") {
+  for (milliseconds offset{0}; offset < milliseconds(100);
+       offset += milliseconds(5)) {
+    CAPTURE(offset.count());
+    FlowSite site(1, 3);
+    const FlowTuple tuple = FlowSite::Tuple(1);
+    site.Open(0, tuple);
+    site.Run(milliseconds(300) + offset);
+    const SocketAddress owner = site.OwnerOf(tuple)->address;
+    int lost = 0;
+    site.is_lost = [&](const SocketAddress& from, const SocketAddress&) {
+      return from == owner && lost++ < 3;
+    };
+    site.Run(milliseconds(1000));
+    REQUIRE(lost > 3);
+    CHECK(site.resets.empty());
+    site.SendRequest(0, tuple, 2);
+    site.Run(milliseconds(200));
+    CHECK(site.AnswersTo(tuple) == 2);
+  }
+}
+
+// Guards against callers that learn of a lost agent too late to try again,
+// because the balancer asks the agent first.
+TEST_CASE("the flows of a lost agent are reset in time at every moment") {
+  for (milliseconds offset{0}; offset < milliseconds(100);
+       offset += milliseconds(5)) {
+    CAPTURE(offset.count());
+    FlowSite site(1, 4);
+    const FlowTuple tuple = FlowSite::Tuple(1);
+    site.Open(0, tuple);
+    site.Run(milliseconds(300) + offset);
+    site.OwnerOf(tuple)->running = false;
+    site.Run(kResetDeadline);
+    CHECK(site.ResetsOf(tuple) == 1);
+    CHECK(site.Decisions("peer_phase overdue") == 1);
+  }
+}
+
+// Guards against queries that add to the load of a path that fails already.
+TEST_CASE("a balancer that is cut off queries no agent again and again") {
+  FlowSite site(1, 10);
+  site.is_lost = [&](const SocketAddress&, const SocketAddress& to) {
+    return to == site.balancers[0]->address;
+  };
+  site.Run(std::chrono::seconds(5));
+  CHECK(site.liveness_queries <= 2 * site.agents.size());
+  site.is_lost = nullptr;
+  site.Run(milliseconds(1000));
+  site.liveness_queries = 0;
+  site.agents[0]->running = false;
+  site.Run(std::chrono::seconds(5));
+  CHECK(site.liveness_queries >= 2);
+  CHECK(site.liveness_queries <= 3);
+}
+
 TEST_CASE("new flows are not placed on a silent agent") {
   FlowSite site(1, 3);
   site.agents[0]->running = false;
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -53,6 +53,8 @@
       const bool is_packet = std::holds_alternative<DeliverMessage>(message);
       m_site->delivered += is_packet ? 1 : 0;
       m_site->queried += std::holds_alternative<FlowQuery>(message) ? 1 : 0;
+      m_site->liveness_queries +=
+          std::holds_alternative<LivenessQuery>(message) ? 1 : 0;
       if (!is_packet) {
         ++m_site->control_sent[m_self];
         ++m_site->control_received[node];
@@ -401,6 +403,8 @@
   std::size_t delivered = 0;
   /// Number of queries that balancers sent to agents.
   std::size_t queried = 0;
+  /// Number of queries whether an agent still runs.
+  std::size_t liveness_queries = 0;
   /// Number of other messages between processes, by sender and by receiver.
   std::map<SocketAddress, std::size_t> control_sent;
   std::map<SocketAddress, std::size_t> control_received;
--- a/tests/libflow/nodemessagecodectest.cpp
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -131,6 +131,9 @@
   CHECK(std::get<FlowQuery>(*query).tuple == tuple);
   CHECK(std::get<FlowQuery>(*query).acknowledgment == 77);
   CHECK(std::get<FlowQuery>(*query).is_reset);
+  const auto liveness = DecodeNodeMessage(Encode(LivenessQuery{}));
+  REQUIRE(liveness);
+  CHECK(std::holds_alternative<LivenessQuery>(*liveness));
   for (const bool is_certain : {false, true}) {
     const auto answer =
         DecodeNodeMessage(Encode(FlowUnknownMessage{tuple, is_certain}));
@@ -205,6 +208,7 @@
       FlowUnknownMessage{},
       FlowUnknownMessage{{}, false},
       FlowQuery{},
+      LivenessQuery{},
       FlowHandover{"counter", Incarnation{1}, 2, 0, 1, true, {{}, {}}},
       heartbeat,
       Status(2),
