FlowSite: optional delays between processes, and a hook for decisions

Messages between processes arrived at once and in order, so that no test of decisions met a report, query or handover that is under way while its sender or receiver restarts. FlowSite::delay gives each message a time; messages of one path stay in order, those of different paths need not.

--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <string>
@@ -12,6 +13,7 @@
 
 #include "fakeupstream.h"
 #include "libbase/manualclock.h"
+#include "libflow/flowdecision.h"
 #include "libflow/flowoutput.h"
 #include "libflow/flowrouter.h"
 #include "libflow/flowtracker.h"
@@ -22,7 +24,8 @@
 namespace fireflytrestle {
 
 /// \brief A small site on a manual clock: balancers, agents and upstreams that
-/// exchange encoded messages without a network and without delay.
+/// exchange encoded messages without a network, and without delay unless
+/// \ref delay is set.
 class FlowSite {
  public:
   static constexpr std::uint16_t kNodePort = 7000;
@@ -57,7 +60,7 @@
         ++m_site->control_sent[m_self];
         ++m_site->control_received[node];
       }
-      m_site->m_datagrams_in_flight.push_back({m_self, node, std::move(bytes)});
+      m_site->Send({m_self, node, std::move(bytes)});
     }
     void SendToUpstream(std::span<const std::uint8_t> packet) override;
     void SendToCaller(const SocketAddress& /*caller*/,
@@ -75,6 +78,9 @@
     void Report(const FlowDecision& decision) override {
       m_site->decisions.push_back(std::string(ToString(decision.kind)) + " " +
                                   decision.reason);
+      if (m_site->on_decision) {
+        m_site->on_decision(m_self, decision);
+      }
     }
 
    private:
@@ -260,10 +266,10 @@
     DeliverAll();
   }
 
-  /// Delivers all messages in flight.
+  /// Delivers all messages in flight whose delay has passed.
   void DeliverAll() {
     while (!m_datagrams_in_flight.empty() || !m_from_upstreams.empty()) {
-      const auto wire = std::exchange(m_datagrams_in_flight, {});
+      const auto wire = TakeArrived();
       bool delivered_any = false;
       for (const Datagram& datagram : wire) {
         if (IsPaused(datagram.to)) {
@@ -415,6 +421,13 @@
                      const SocketAddress& to,
                      const AgentStatus& status)>
       on_report;
+  /// Called with each decision of a process, if set.
+  std::function<void(const SocketAddress& self, const FlowDecision& decision)>
+      on_decision;
+  /// Returns the delay of a datagram between two processes; null for none.
+  /// Datagrams of one path stay in order, those of different paths need not.
+  std::function<Duration(const SocketAddress& from, const SocketAddress& to)>
+      delay;
   /// Returns whether a datagram between two processes is lost; null if none is.
   std::function<bool(const SocketAddress& from, const SocketAddress& to)>
       is_lost;
@@ -424,8 +437,36 @@
     SocketAddress from;
     SocketAddress to;
     std::vector<std::uint8_t> bytes;
+    /// The epoch if the datagram is not delayed.
+    TimePoint arrives{};
   };
 
+  void Send(Datagram datagram) {
+    if (delay) {
+      TimePoint& last = m_last_arrivals[{datagram.from, datagram.to}];
+      last = std::max(last, clock.Now() + delay(datagram.from, datagram.to));
+      datagram.arrives = last;
+    }
+    m_datagrams_in_flight.push_back(std::move(datagram));
+  }
+
+  /// Removes the datagrams that have arrived by now, in order of arrival.
+  std::vector<Datagram> TakeArrived() {
+    auto arrived = std::exchange(m_datagrams_in_flight, {});
+    const auto first_delayed = std::stable_partition(
+        arrived.begin(), arrived.end(), [&](const Datagram& datagram) {
+          return datagram.arrives <= clock.Now();
+        });
+    m_datagrams_in_flight.assign(std::make_move_iterator(first_delayed),
+                                 std::make_move_iterator(arrived.end()));
+    arrived.erase(first_delayed, arrived.end());
+    std::stable_sort(arrived.begin(), arrived.end(),
+                     [](const Datagram& a, const Datagram& b) {
+                       return a.arrives < b.arrives;
+                     });
+    return arrived;
+  }
+
   bool IsPaused(const SocketAddress& address) const {
     return std::any_of(agents.begin(), agents.end(), [&](const auto& agent) {
       return agent->paused && agent->address == address;
@@ -450,6 +491,8 @@
   }
 
   std::vector<Datagram> m_datagrams_in_flight;
+  /// Arrival of the last datagram of each path.
+  std::map<std::pair<SocketAddress, SocketAddress>, TimePoint> m_last_arrivals;
   std::vector<std::pair<Agent*, FlowPacket>> m_from_upstreams;
   std::vector<std::pair<Agent*, FlowPacket>> m_delayed_packets;
   Zones m_zones;
