Ask agents that appear during a search, and bound the packets of every search

A search asked the agents that were known at its beginning; one that became known later, such as that of an upstream which has left the store, was never asked, and the flow waited or was reset. Each such agent is asked now. Agents that had got no handover did not count for the limit on packets to other upstreams, so that the loss of the handovers with all balancers made up to ten arrivals: they count, and an outage is assumed only if three quarters of the agents lack one.

--- a/src/libflow/flowlossdetector.cpp
+++ b/src/libflow/flowlossdetector.cpp
@@ -22,6 +22,9 @@
 /// Number of searches that suffice to find kMinOrphanedFlows flows without an
 /// owner after an outage.
 constexpr std::size_t kMaxRecoverySearches = 12;
+/// All but one in this many agents have started without a handover after an
+/// outage; planned restarts lose the handovers of fewer agents at a time.
+constexpr std::size_t kOutageDivisor = 4;
 /// Searches are deferred only this long after the first view, while the
 /// platform still counts the instances as disturbed by the outage.
 constexpr milliseconds kDeferPeriod{2500};
@@ -75,7 +78,8 @@
   for (const auto& [address, agent] : m_agents.all()) {
     started += agent->LacksHandover(now) ? 1 : 0;
   }
-  return 2 * started >= m_agents.all().size();
+  return kOutageDivisor * started >=
+         (kOutageDivisor - 1) * m_agents.all().size();
 }
 
 bool FlowLossDetector::ShouldDeferSearches(TimePoint now) const {
--- a/src/libflow/flowlossdetector.h
+++ b/src/libflow/flowlossdetector.h
@@ -45,8 +45,8 @@
   /// those whose agents have not reported since.
   bool AreAllFlowsLost(TimePoint now) const;
 
-  /// Whether this process and at least half of the agents started a moment ago
-  /// without a handover: an unplanned outage has ended most processes, and only
+  /// Whether this process and nearly all agents started a moment ago without a
+  /// handover: an unplanned outage has ended most processes, and only
   /// the upstreams know their flows.
   bool IsOutage(TimePoint now) const;
 
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -517,7 +517,7 @@
     return std::find(probed.begin(), probed.end(), agent) != probed.end();
   };
   const auto is_limited = [&](const AgentPeerPtr& agent) {
-    return !is_outage && !agent->LacksHandover(now) && !is_probed(agent);
+    return !is_outage && !is_probed(agent);
   };
   // If few agents are left, one of them is the owner of an open flow.
   const auto limited = static_cast<std::size_t>(
@@ -740,6 +740,9 @@
   if (was_silent || is_new_run) {
     m_heartbeats.OnAgentBack(*agent, now);
   }
+  if (!before) {
+    AskInSearches(agent, now);
+  }
   if (status.needs_handover) {
     ReturnFlows(agent, status, is_new_run);
   }
@@ -753,6 +756,15 @@
   ProcessPendingPackets(now);
 }
 
+void FlowRouter::AskInSearches(const AgentPeerPtr& agent, TimePoint now) {
+  for (auto& [tuple, entry] : m_flows.flows()) {
+    if (entry.state == State::kSearching && !entry.is_deferred &&
+        AskAgents(tuple, {agent}, &entry, now)) {
+      entry.pending_agents.push_back(agent);
+    }
+  }
+}
+
 std::vector<ReportedFlow> FlowRouter::WithoutKnown(
     std::vector<ReportedFlow> flows) {
   std::erase_if(flows, [&](const ReportedFlow& flow) {
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -189,6 +189,8 @@
   void ReturnFlows(const AgentPeerPtr& agent,
                    const AgentStatus& status,
                    bool is_new_run);
+  /// Asks an agent that has become known for the flows that are searched for.
+  void AskInSearches(const AgentPeerPtr& agent, TimePoint now);
   /// Returns those of \p flows that are unknown or searched for.
   std::vector<ReportedFlow> WithoutKnown(std::vector<ReportedFlow> flows);
   /// Records that the agent's upstream holds the flows.
