Give all agents more time while the reports of most are late

Cause: a path or process that holds all reports up lets them arrive again agent by agent. As soon as half of them had arrived there was a quorum, and the agents whose reports came last were silent by the plain timeout; queries do not help, since their answers wait on the same path.

Change: the detector measures by how much the report of the median agent is late. Once the median recovers, which shows that the agents were late and not lost, all agents have twice that time more for 1 s, since the latest of evenly spread delays is twice the median. If there was no quorum, no agent is judged for another 350 ms. The lateness counts up to 500 ms, so the timeout is 1.35 s at most. While most agents do not report, nothing is extended: a zone that is lost as a whole looks the same until it recovers. Agents that announced their stop are left out.

Ruled out: the median at each tick, without waiting for its recovery.

Measured: "a path that holds all reports up for a while resets no flow" failed in all 40 cases (four spreads of 300 to 3000 ms, ten phases) on the commit before and passes; after each, a loss is detected within 450 ms again. The loss of a zone of four, a third or half of all agents, and of the balancer's own zone is detected within 450 ms, before and after.

--- a/src/libflow/agentfailuredetector.cpp
+++ b/src/libflow/agentfailuredetector.cpp
@@ -1,6 +1,7 @@
 #include "libflow/agentfailuredetector.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fireflytrestle {
 
@@ -24,36 +25,32 @@
   return now - std::max(*agent.last_report(), agent.reports_wanted_since());
 }
 
+/// Returns by how much the median of the times since the last report of agents
+/// that report every kReportInterval exceeds that interval.
+milliseconds LatenessOf(std::vector<Duration> ages) {
+  if (ages.empty()) {
+    return milliseconds(0);
+  }
+  // If half of the agents are lost, the reports of the others still count.
+  const auto median =
+      ages.begin() + static_cast<std::ptrdiff_t>((ages.size() - 1) / 2);
+  std::nth_element(ages.begin(), median, ages.end());
+  const Duration late = *median - AgentFailureDetector::kReportInterval;
+  return std::clamp(std::chrono::duration_cast<milliseconds>(late),
+                    milliseconds(0), AgentFailureDetector::kMaxLateness);
+}
+
 }  // namespace
 
 std::vector<AgentPeerPtr> AgentFailureDetector::OnTick(const AgentTable& agents,
                                                        TimePoint now) {
-  if (m_last_tick != TimePoint{} && now - m_last_tick > kPauseThreshold) {
-    m_resumed = now;
-  }
+  const bool was_paused =
+      m_last_tick != TimePoint{} && now - m_last_tick > kPauseThreshold;
   m_last_tick = now;
-  std::size_t expected = 0;
-  std::size_t fresh = 0;
-  std::size_t remote = 0;
-  std::size_t fresh_remote = 0;
-  for (const auto& [address, agent] : agents.all()) {
-    if (!IsExpected(*agent)) {
-      continue;
-    }
-    const Duration age = TimeSinceReport(*agent, now);
-    if (agent->wanted_interval() > kReportInterval) {
-      ++remote;
-      fresh_remote += age < kSilenceTimeout ? 1 : 0;
-    } else {
-      ++expected;
-      fresh += age < SilenceTimeoutFor(*agent) ? 1 : 0;
-    }
+  if (was_paused) {
+    m_resumed = now;
   }
-  // The infrequent reports show that this process is not cut off if all agents
-  // that report frequently are lost together.
-  m_quorum =
-      (fresh > 0 && 2 * fresh >= expected) ||
-      (fresh_remote > 0 && kRemoteQuorumDivisor * fresh_remote >= remote);
+  MeasureReports(agents, now);
   std::vector<AgentPeerPtr> silenced;
   m_overdue.clear();
   const bool is_reliable = IsReliable(now);
@@ -65,14 +62,13 @@
     if (!IsExpected(*agent)) {
       continue;
     }
-    const bool stopping = agent->phase() == AgentPhase::kStopping;
-    const milliseconds timeout =
-        stopping ? kStopGrace : SilenceTimeoutFor(*agent);
+    const milliseconds timeout = SilenceTimeoutFor(*agent);
     const Duration age = TimeSinceReport(*agent, now);
     if (age < timeout - kQueryTime || now - agent->last_query() < kAnswerTime) {
       continue;
     }
-    if (age >= timeout && agent->unanswered_queries() >= kMinQueries) {
+    if (age >= timeout + GeneralDelay(now) &&
+        agent->unanswered_queries() >= kMinQueries) {
       agent->set_silent(true);
       silenced.push_back(agent);
     } else {
@@ -80,10 +76,85 @@
       m_overdue.push_back(agent);
     }
   }
+  if (!silenced.empty()) {
+    m_present_lateness = milliseconds(0);
+  }
   return silenced;
 }
 
+void AgentFailureDetector::MeasureReports(const AgentTable& agents,
+                                          TimePoint now) {
+  std::vector<Duration> ages;
+  std::size_t expected = 0;
+  std::size_t fresh = 0;
+  std::size_t remote = 0;
+  std::size_t fresh_remote = 0;
+  for (const auto& [address, agent] : agents.all()) {
+    if (!IsExpected(*agent)) {
+      continue;
+    }
+    const Duration age = TimeSinceReport(*agent, now);
+    if (agent->wanted_interval() > kReportInterval) {
+      ++remote;
+      fresh_remote += age < kSilenceTimeout ? 1 : 0;
+      continue;
+    }
+    ++expected;
+    fresh += age < ReportTimeoutFor(*agent) ? 1 : 0;
+    if (agent->IsReporting() && agent->phase() != AgentPhase::kStopping) {
+      ages.push_back(age);
+    }
+  }
+  const bool has_frequent_quorum = fresh > 0 && 2 * fresh >= expected;
+  // The infrequent reports show that this process is not cut off if all agents
+  // that report frequently are lost together.
+  m_quorum =
+      has_frequent_quorum ||
+      (fresh_remote > 0 && kRemoteQuorumDivisor * fresh_remote >= remote);
+  if (m_resumed != now) {
+    OnLateness(LatenessOf(std::move(ages)), has_frequent_quorum, now);
+  }
+}
+
+void AgentFailureDetector::OnLateness(milliseconds lateness,
+                                      bool has_frequent_quorum,
+                                      TimePoint now) {
+  if (has_frequent_quorum && lateness < m_present_lateness) {
+    // The agents were late and not lost.
+    if (m_present_lateness >= m_lateness ||
+        now - m_lateness_confirmed >= kLatenessMemory) {
+      m_lateness = m_present_lateness;
+      m_lateness_confirmed = now;
+    }
+    if (!m_had_frequent_quorum) {
+      // Those whose reports arrive first again must not make the others silent.
+      m_resumed = now;
+    }
+    m_present_lateness = lateness;
+  }
+  m_present_lateness = std::max(m_present_lateness, lateness);
+  m_had_frequent_quorum = has_frequent_quorum;
+}
+
+milliseconds AgentFailureDetector::GeneralDelay(TimePoint now) const {
+  milliseconds lateness{0};
+  if (now - m_lateness_confirmed < kLatenessMemory) {
+    lateness = m_lateness;
+  }
+  if (m_had_frequent_quorum) {
+    lateness = std::max(lateness, m_present_lateness);
+  }
+  // If reports are late by any time up to a maximum with equal probability, the
+  // maximum is twice the median.
+  return 2 * lateness;
+}
+
 milliseconds AgentFailureDetector::SilenceTimeoutFor(const AgentPeer& agent) {
+  return agent.phase() == AgentPhase::kStopping ? kStopGrace
+                                                : ReportTimeoutFor(agent);
+}
+
+milliseconds AgentFailureDetector::ReportTimeoutFor(const AgentPeer& agent) {
   return agent.IsReporting()
              ? agent.wanted_interval() * kMissedReports + kDelayAllowance
              : kRequestTimeout;
--- a/src/libflow/agentfailuredetector.h
+++ b/src/libflow/agentfailuredetector.h
@@ -14,7 +14,8 @@
 /// A process that was paused, or that gets reports from too few agents, is
 /// likely at fault itself and must not act on the silence of others. An agent
 /// counts as silent only if it also left queries unanswered: a few lost reports
-/// do not show that it is lost.
+/// do not show that it is lost. While the reports of most agents are late, all
+/// agents are given more time.
 class AgentFailureDetector {
  public:
   /// An agent that reports every kReportInterval is silent after this long
@@ -39,6 +40,12 @@
   /// Number of queries that an agent must leave unanswered before it counts as
   /// silent, since regular reports may have been lost.
   static constexpr int kMinQueries = 2;
+  /// The lateness of reports in general is remembered for this long, since
+  /// reports that were held up arrive over a while.
+  static constexpr std::chrono::milliseconds kLatenessMemory{1000};
+  /// General lateness above this does not extend the timeout further, so that
+  /// the loss of an agent is still detected after 1.35 s.
+  static constexpr std::chrono::milliseconds kMaxLateness{500};
   /// Minimum time for the answer to a query: an agent answers at once, and
   /// ticks are due every 50 ms.
   static constexpr std::chrono::milliseconds kAnswerTime{40};
@@ -61,7 +68,21 @@
   bool IsReliable(TimePoint now) const;
 
  private:
+  /// Returns the time without a report after which an agent is silent, or does
+  /// not report at present; the two differ for one that announced its stop.
   static std::chrono::milliseconds SilenceTimeoutFor(const AgentPeer& agent);
+  static std::chrono::milliseconds ReportTimeoutFor(const AgentPeer& agent);
+
+  /// Updates the quorum and the lateness of reports.
+  void MeasureReports(const AgentTable& agents, TimePoint now);
+  /// Handles the present lateness of the median agent of those that report
+  /// every kReportInterval.
+  void OnLateness(std::chrono::milliseconds lateness,
+                  bool has_frequent_quorum,
+                  TimePoint now);
+  /// Returns how much longer than usual a report may be missing while reports
+  /// are late in general.
+  std::chrono::milliseconds GeneralDelay(TimePoint now) const;
 
   /// The platform kills a stopping process 6 s after the announcement of its
   /// stop.
@@ -70,6 +91,15 @@
   TimePoint m_last_tick{};
   TimePoint m_resumed{};
   bool m_quorum = false;
+  /// Whether at least half of the agents that report every kReportInterval did
+  /// so at the last tick.
+  bool m_had_frequent_quorum = false;
+  /// Lateness of the median of these agents, which may also be lost.
+  std::chrono::milliseconds m_present_lateness{0};
+  /// The highest lateness from which the median has recovered within
+  /// kLatenessMemory, and when it did.
+  std::chrono::milliseconds m_lateness{0};
+  TimePoint m_lateness_confirmed{};
   std::vector<AgentPeerPtr> m_overdue;
 };
 
--- a/tests/libflow/agentfailuretest.cpp
+++ b/tests/libflow/agentfailuretest.cpp
@@ -149,6 +149,113 @@
   CHECK(site.balancers[0]->router->IsServing());
 }
 
+// Guards against resets of open flows (FLOW) by a balancer whose path to all
+// agents is held up: the first reports that arrive again show a quorum, and the
+// agents whose reports come last do not.
+TEST_CASE("a path that holds all reports up for a while resets no flow") {
+  constexpr std::size_t kAgents = 10;
+  milliseconds first{300};
+  milliseconds spread{40};
+  SUBCASE("for 300 to 660 ms") {}
+  SUBCASE("for 600 to 960 ms") {
+    first = milliseconds(600);
+  }
+  SUBCASE("for 3000 to 3360 ms") {
+    first = milliseconds(3000);
+  }
+  SUBCASE("for 100 to 640 ms") {
+    first = milliseconds(100);
+    spread = milliseconds(60);
+  }
+  for (milliseconds offset{0}; offset < milliseconds(100);
+       offset += milliseconds(10)) {
+    CAPTURE(offset.count());
+    FlowSite site(1, kAgents);
+    std::vector<FlowTuple> flows;
+    for (std::uint32_t caller = 1; caller <= 3 * kAgents; ++caller) {
+      flows.push_back(FlowSite::Tuple(caller));
+      site.Open(0, flows.back());
+    }
+    site.Run(milliseconds(300) + offset);
+    const TimePoint began = site.clock.Now();
+    site.delay_of = [&](const SocketAddress& from,
+                        const SocketAddress& to) -> Duration {
+      if (to != site.balancers[0]->address) {
+        return {};
+      }
+      const auto index = from.ipv4 - site.agents[0]->address.ipv4;
+      const TimePoint end = began + first + index * spread;
+      return std::max<Duration>(end - site.clock.Now(), Duration{});
+    };
+    site.Run(std::chrono::seconds(6));
+    CHECK(site.resets.empty());
+    // A loss is detected in time again.
+    FlowSite::Agent* lost = site.OwnerOf(flows[0]);
+    lost->running = false;
+    site.Run(kResetDeadline);
+    CHECK(site.ResetsOf(flows[0]) == 1);
+  }
+}
+
+// Guards against a balancer that takes the loss of many agents for lateness of
+// all reports.
+TEST_CASE("the loss of many agents at once is detected in time") {
+  constexpr std::size_t kAgents = 12;
+  std::size_t lost = 0;
+  SUBCASE("one zone of four") {
+    lost = kAgents / 4;
+  }
+  SUBCASE("a third") {
+    lost = kAgents / 3;
+  }
+  SUBCASE("half") {
+    lost = kAgents / 2;
+  }
+  for (milliseconds offset{0}; offset < milliseconds(100);
+       offset += milliseconds(10)) {
+    CAPTURE(offset.count());
+    FlowSite site(2, kAgents, 3, {1, 4});
+    std::vector<FlowTuple> flows;
+    for (std::uint32_t caller = 1; caller <= 3 * kAgents; ++caller) {
+      flows.push_back(FlowSite::Tuple(caller));
+      site.Open(0, flows.back());
+    }
+    site.Run(milliseconds(300) + offset);
+    for (std::size_t i = 0; i < lost; ++i) {
+      // The agents of one zone follow each other at a distance of four.
+      site.agents[i * 4 % kAgents + i * 4 / kAgents]->running = false;
+    }
+    site.Run(kResetDeadline);
+    for (const FlowTuple& flow : flows) {
+      CHECK(site.ResetsOf(flow) == (site.OwnerOf(flow)->running ? 0 : 1));
+    }
+  }
+}
+
+// The same for the whole zone of a balancer that gets frequent reports from
+// its own zone only.
+TEST_CASE("the loss of the balancer's own zone is detected in time") {
+  FlowSite site(6, 120, 3, {3, 3});
+  std::vector<FlowTuple> flows;
+  for (std::uint32_t caller = 1; caller <= 90; ++caller) {
+    flows.push_back(FlowSite::Tuple(caller));
+    site.Open(caller % 2 * 3, flows.back());
+    site.Run(milliseconds(10));
+  }
+  site.Run(milliseconds(300));
+  std::size_t lost = 0;
+  for (const auto& agent : site.agents) {
+    agent->running = agent->zone != "a";
+  }
+  site.Run(kResetDeadline);
+  for (const FlowTuple& flow : flows) {
+    const bool is_lost = !site.OwnerOf(flow)->running;
+    lost += is_lost ? 1 : 0;
+    CHECK((site.ResetsOf(flow) > 0) == is_lost);
+  }
+  CHECK(lost > 0);
+}
+
 TEST_CASE("a balancer keeps serving while agents are lost one by one") {
   FlowSite site(1, 4);
   site.agents[0]->running = false;
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -59,7 +59,10 @@
         ++m_site->control_sent[m_self];
         ++m_site->control_received[node];
       }
-      m_site->m_datagrams_in_flight.push_back({m_self, node, std::move(bytes)});
+      const Duration delay =
+          m_site->delay_of ? m_site->delay_of(m_self, node) : Duration{};
+      m_site->m_datagrams_in_flight.push_back(
+          {m_self, node, m_site->clock.Now() + delay, std::move(bytes)});
     }
     void SendToUpstream(std::span<const std::uint8_t> packet) override;
     void SendToCaller(const SocketAddress& /*caller*/,
@@ -268,7 +271,7 @@
       const auto wire = std::exchange(m_datagrams_in_flight, {});
       bool delivered_any = false;
       for (const Datagram& datagram : wire) {
-        if (IsPaused(datagram.to)) {
+        if (IsPaused(datagram.to) || datagram.due > clock.Now()) {
           m_datagrams_in_flight.push_back(datagram);
           continue;
         }
@@ -422,11 +425,16 @@
   /// Returns whether a datagram between two processes is lost; null if none is.
   std::function<bool(const SocketAddress& from, const SocketAddress& to)>
       is_lost;
+  /// Returns how long a datagram between two processes takes; null if all
+  /// arrive at once.
+  std::function<Duration(const SocketAddress& from, const SocketAddress& to)>
+      delay_of;
 
  private:
   struct Datagram {
     SocketAddress from;
     SocketAddress to;
+    TimePoint due;
     std::vector<std::uint8_t> bytes;
   };
 
