--- a/tests/libflow/plannedworktest.cpp
+++ b/tests/libflow/plannedworktest.cpp
@@ -885,6 +885,65 @@
   CHECK(site.resets.empty());
 }
 
+// Guards against FLOW (a): a balancer gets no report of the short run of an
+// agent that is restarted again at once, and takes it for lost 6 s after the
+// first stop.
+TEST_CASE("flows outlast restarts of their agent in quick succession") {
+  constexpr int kRestarts = 3;
+  std::size_t reset = 0;
+  for (milliseconds away(2000); away <= milliseconds(2400);
+       away += milliseconds(50)) {
+    FlowSite site(2, 4);
+    const FlowTuple tuple = FlowSite::Tuple(1);
+    // Restarted agents report to balancer 0 at once.
+    site.Open(1, tuple);
+    site.Run(milliseconds(300));
+    FlowSite::Agent* owner = site.OwnerOf(tuple);
+    REQUIRE(owner != nullptr);
+    for (int i = 0; i < kRestarts; ++i) {
+      StopAgents(&site, {owner});
+      site.Run(away - FlowTracker::kNoticeTime);
+      site.StartAgent(IndexOf(site, owner));
+    }
+    site.Run(seconds(1));
+    reset += site.ResetsOf(tuple);
+  }
+  CHECK(reset == 0);
+}
+
+// Guards against FLOW (a): a balancer whose placement of a flow fails resets
+// the flow, which has opened through another balancer that got a copy of the
+// SYN.
+TEST_CASE("a failed placement does not reset a flow that opened elsewhere") {
+  constexpr std::size_t kAgents = 5;
+  FlowSite site(2, kAgents, 3, {1, 1});
+  FlowSite::Agent* loaded = OpenFlow(&site, FlowSite::Tuple(1));
+  REQUIRE(loaded != nullptr);
+  const FlowTuple tuple = FlowSite::Tuple(2);
+  const SocketAddress slow = site.balancers[0]->address;
+  site.delay = [&](const SocketAddress& from, const SocketAddress& to) {
+    return from == slow || to == slow ? milliseconds(30) : milliseconds(0);
+  };
+  // The other agents stop in turn, each while the SYN is on its way to it.
+  site.on_decision = [&](const SocketAddress& self,
+                         const FlowDecision& decision) {
+    if (self != slow || decision.tuple != tuple) {
+      return;
+    }
+    for (const auto& agent : site.agents) {
+      if (agent->address == decision.peer && agent.get() != loaded) {
+        agent->tracker->BeginStop(site.clock.Now());
+      }
+    }
+  };
+  site.SendSyn(0, tuple);
+  site.Run(milliseconds(200));
+  site.Open(1, tuple);
+  site.Run(milliseconds(300));
+  REQUIRE(site.OwnerOf(tuple) == loaded);
+  CHECK(site.ResetsOf(tuple) == 0);
+}
+
 // Guards against FLOW, both halves: during planned work alone, an open flow is
 // reset, or three of its packets arrive at other upstreams within 2 s and none
 // at its own.
