Find restarted agents within 50 ms, and answer no late SYN with a reset

A balancer that keeps a handover, or wants reports, sent a stopping agent heartbeats every 250 ms or less often, since it counted as reporting: searches took the new run for one without a handover (strays), and missed a run of 150 ms between two stops, so that the flows were reset 6 s after the first. It gets heartbeats every 50 ms.

A placement that failed after the caller's first copy had gone to another balancer reset the flow which that copy had opened. From 200 ms after the last SYN on, and for a SYN that is a copy itself, nothing is sent; the caller repeats it or gives up after 1.4 s.

'flows of restarted agents are found before the handovers arrive', 'flows outlast restarts of their agent in quick succession' and 'a failed placement does not reset a flow that opened elsewhere' failed before and pass, and so does a new test of copies.

--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -78,6 +78,7 @@
     m_previous_incarnation = m_incarnation;
     m_incarnation = status.incarnation;
     m_run_heard = now;
+    m_keeps_handover = false;
   }
   m_report_number = status.number;
   m_phase = status.phase;
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -85,6 +85,11 @@
   /// and would have got one by now if it had been stopped as planned before.
   bool LacksHandover(TimePoint now) const;
 
+  /// Whether this balancer keeps the handover of the agent's last run, from
+  /// OnHandover() until the next run is heard.
+  void OnHandover() { m_keeps_handover = true; }
+  bool keeps_handover() const { return m_keeps_handover; }
+
   /// Whether the upstream has ended: its agent reports it as down, or its
   /// registration is missing and its agent has never reported.
   bool IsGone() const {
@@ -170,6 +175,7 @@
   std::uint64_t m_report_number = 0;
   AgentPhase m_phase = AgentPhase::kServing;
   bool m_needs_handover = false;
+  bool m_keeps_handover = false;
   std::uint32_t m_running = 0;
   std::uint32_t m_long_flows = 0;
   /// Opening time of the oldest open flow, according to the last report.
--- a/src/libflow/flowownertable.h
+++ b/src/libflow/flowownertable.h
@@ -36,6 +36,8 @@
   /// must be close to it.
   std::uint32_t acknowledgment = 0;
   std::uint8_t placements = 0;
+  /// The first SYN here was a copy of one that another balancer may have got.
+  bool is_syn_copy = false;
   /// Service for which the flow was placed, or that of the agent that reported
   /// it. The agent of a reused address belongs to another service.
   std::string service;
--- a/src/libflow/flowpacket.h
+++ b/src/libflow/flowpacket.h
@@ -19,6 +19,7 @@
   /// hold its flow.
   bool bounced = false;
   std::uint32_t sequence = 0;
+  /// In a SYN, the number of copies that the caller has sent before.
   std::uint32_t acknowledgment = 0;
   /// Payload bytes of the packet.
   std::uint16_t data_bytes = 0;
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -24,6 +24,9 @@
 /// agent does not answer: callers repeat a SYN after 200 ms, an answer takes
 /// under 20 ms.
 constexpr milliseconds kSynAnswerTimeout{120};
+/// Callers send a copy of a SYN no sooner than this; if it has not arrived
+/// here, another balancer may have got it.
+constexpr milliseconds kFirstCopyTime{200};
 /// The next stage of a search begins after this time if the present one has not
 /// ended: an agent answers a query within milliseconds.
 constexpr milliseconds kStageTimeout{30};
@@ -143,16 +146,18 @@
   }
   m_flows.Erase(tuple);
   const auto route = m_view->routes.find(tuple.route);
+  const bool is_copy = packet.acknowledgment != 0;
   if (route == m_view->routes.end()) {
-    Reset(tuple, packet.acknowledgment, "no_route", nullptr, now);
+    RefuseOpening(tuple, is_copy, "no_route", now);
     return;
   }
   entry = AddEntry(packet, tuple, route->second, now);
   if (entry == nullptr) {
-    Reset(tuple, packet.acknowledgment, "too_many_flows", nullptr, now);
+    RefuseOpening(tuple, is_copy, "too_many_flows", now);
     return;
   }
   entry->syn_sequence = packet.sequence;
+  entry->is_syn_copy = is_copy;
   m_retry_budget.OnFirstAttempt();
   Place(tuple, entry, datagram, now);
 }
@@ -207,6 +212,17 @@
   return agent;
 }
 
+void FlowRouter::RefuseOpening(const FlowTuple& tuple,
+                               bool may_have_opened,
+                               const char* reason,
+                               TimePoint now) {
+  if (may_have_opened) {
+    Report(Kind::kDropped, tuple, nullptr, reason, now);
+  } else {
+    Reset(tuple, 0, reason, nullptr, now);
+  }
+}
+
 void FlowRouter::FailPlacement(const FlowTuple& tuple,
                                FlowEntry* entry,
                                const char* reason,
@@ -215,7 +231,9 @@
     return agent->IsGone() || agent->silent();
   });
   if (entry->pending_agents.empty()) {
-    Reset(tuple, entry->acknowledgment, reason, nullptr, now);
+    const bool may_have_opened =
+        entry->is_syn_copy || now - entry->last_packet >= kFirstCopyTime;
+    RefuseOpening(tuple, may_have_opened, reason, now);
     m_flows.Erase(tuple);
     return;
   }
@@ -783,6 +801,7 @@
     return;
   }
   m_handovers.Add(source, handover, now);
+  agent->OnHandover();
   ApplyReportedFlows(agent, WithoutKnown(handover.flows), now);
 }
 
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -96,6 +96,12 @@
              FlowEntry* entry,
              std::span<const std::uint8_t> datagram,
              TimePoint now);
+  /// Resets a flow that cannot be opened here; drops its SYN if the flow may
+  /// have opened through another balancer.
+  void RefuseOpening(const FlowTuple& tuple,
+                     bool may_have_opened,
+                     const char* reason,
+                     TimePoint now);
   /// Ends the placement of a flow that no further agent can get: resets the
   /// flow, unless an agent that has its SYN may still answer.
   void FailPlacement(const FlowTuple& tuple,
--- a/src/libflow/heartbeatscheduler.cpp
+++ b/src/libflow/heartbeatscheduler.cpp
@@ -67,8 +67,9 @@
         kUnheardInterval,
         std::chrono::seconds(agent_count / kMaxUnheardPerSecond));
   }
-  if (!agent.reports_wanted() && agent.phase() == AgentPhase::kStopping) {
-    return kStoppingInterval;
+  if (agent.phase() == AgentPhase::kStopping) {
+    return agent.reports_wanted() || agent.keeps_handover() ? kProbeInterval
+                                                            : kStoppingInterval;
   }
   if (!agent.reports_wanted()) {
     return std::max<Duration>(
--- a/src/libflow/heartbeatscheduler.h
+++ b/src/libflow/heartbeatscheduler.h
@@ -24,11 +24,11 @@
   /// Interval of heartbeats to an agent that reports. A changed entry is sent
   /// at once; this interval serves agents that restarted.
   static constexpr std::chrono::milliseconds kInterval{250};
-  /// The same for an agent whose reports are wanted but do not arrive, so that
-  /// it is found soon after it has restarted.
+  /// The same for an agent whose reports are wanted but do not arrive, or whose
+  /// handover is kept here, so that it is found soon after it has restarted.
   static constexpr std::chrono::milliseconds kProbeInterval{50};
-  /// The same for an agent that is about to stop and from which no reports are
-  /// wanted, so that it gets new flows soon after it has restarted.
+  /// The same for any other agent that is about to stop, so that it gets new
+  /// flows soon after it has restarted.
   static constexpr std::chrono::milliseconds kStoppingInterval{1000};
   /// The same for an agent that has never reported: the first heartbeat or its
   /// answer may have been lost. Longer if there are more than
--- a/tests/libflow/agentfailuretest.cpp
+++ b/tests/libflow/agentfailuretest.cpp
@@ -411,4 +411,27 @@
   }
 }
 
+// Guards against a reset of an open flow (FLOW) whose SYN was sent again, and
+// opened the flow through another balancer.
+TEST_CASE(
+    "a copy of a SYN that cannot be served is not answered with a reset") {
+  FlowSite site(1, 1);
+  FlowPacket syn = FlowSite::Packet(FlowSite::Tuple(1));
+  syn.syn = true;
+  SUBCASE("on a route that the balancer does not know") {
+    syn.destination.port = 1;
+  }
+  SUBCASE("without an agent") {
+    site.agents[0]->upstream->bounces_syns = true;
+  }
+  const FlowTuple tuple{syn.source, syn.destination};
+  syn.acknowledgment = 1;
+  site.SendFromCaller(0, syn);
+  CHECK(site.ResetsOf(tuple) == 0);
+  syn.acknowledgment = 0;
+  syn.sequence = 1000;
+  site.SendFromCaller(0, syn);
+  CHECK(site.ResetsOf(tuple) == 1);
+}
+
 }  // namespace fireflytrestle
