Count the packets at other upstreams that searches of all balancers cause

A search bounded its own packets to upstreams that may not hold the flow. An agent whose upstream has returned a packet of the flow within 2 s says so in its answer, and the search counts these.

'searches of two balancers together reach few other upstreams' fails without the count and passes with it.

--- a/src/libflow/flowownertable.h
+++ b/src/libflow/flowownertable.h
@@ -51,6 +51,9 @@
   /// Of these, the ones that have got the packet since \ref probes_began.
   std::vector<AgentPeerPtr> probed_agents;
   TimePoint probes_began{};
+  /// Number of other upstreams that have got packets of the flow through other
+  /// balancers.
+  std::size_t stray_arrivals = 0;
   /// Agents that a search queries in later stages if no agent queried so far
   /// holds the flow; the next stage is the last element.
   std::vector<std::vector<AgentPeerPtr>> later_stages;
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -50,9 +50,8 @@
 /// Bytes of a query with the headers of UDP and IP.
 constexpr std::size_t kQueryBytes = 70;
 /// Maximum number of upstreams that do not hold a flow which its packets may
-/// reach within kProbeWindow.
+/// reach within kStrayWindow.
 constexpr std::size_t kMaxStrayProbes = 2;
-constexpr milliseconds kProbeWindow{2000};
 /// Maximum number of agents that one SYN is sent to.
 constexpr std::uint8_t kMaxPlacements = 4;
 /// Limit on repeated placements: 30 % of the new flows, and a constant minimum
@@ -313,6 +312,7 @@
   entry->state = State::kSearching;
   entry->placed = now;
   entry->stage_began = now;
+  entry->probes_began = now;
   HoldPacket(datagram, packet, entry);
   if (m_agents.all().size() >= kMinStagedAgents &&
       m_loss_detector.ShouldDeferSearches(now) && !packet.reset) {
@@ -527,8 +527,9 @@
     return;
   }
   auto& probed = entry->probed_agents;
-  if (now - entry->probes_began >= kProbeWindow) {
+  if (now - entry->probes_began >= kStrayWindow) {
     entry->probes_began = now;
+    entry->stray_arrivals = 0;
     probed.clear();
   }
   const auto is_probed = [&](const AgentPeerPtr& agent) {
@@ -540,9 +541,10 @@
   // If few agents are left, one of them is the owner of an open flow.
   const auto limited = static_cast<std::size_t>(
       std::count_if(unsure.begin(), unsure.end(), is_limited));
-  const std::size_t max_probed = probed.size() + limited <= kMaxStrayProbes + 1
-                                     ? kMaxStrayProbes + 1
-                                     : kMaxStrayProbes;
+  const std::size_t max_strays =
+      kMaxStrayProbes - std::min(kMaxStrayProbes, entry->stray_arrivals);
+  const std::size_t max_probed =
+      max_strays + (probed.size() + limited <= max_strays + 1 ? 1 : 0);
   const std::size_t bytes = entry->search_packet.size() + kDeliverOverheadBytes;
   std::erase_if(unsure, [&](const AgentPeerPtr& agent) {
     const bool counts = is_limited(agent);
@@ -719,6 +721,7 @@
       if (!message.is_certain) {
         entry->unsure_agents.push_back(agent);
       }
+      entry->stray_arrivals += message.has_returned ? 1 : 0;
       TryEndSearch(tuple, entry, now);
     }
     return;
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -43,6 +43,11 @@
   return flow.state == State::kUnconfirmed || flow.state == State::kRestored;
 }
 
+/// Whether the upstream has returned a packet of the flow a moment ago.
+bool HasReturnedPacket(const UpstreamFlow& flow, TimePoint now) {
+  return flow.returned != TimePoint{} && now - flow.returned < kStrayWindow;
+}
+
 /// Whether no two packets of one flow have these acknowledgment numbers within
 /// its retransmissions: an upstream has at most 16 packets of 1,200 bytes in
 /// flight, and the numbers of two flows differ by more almost always.
@@ -234,7 +239,11 @@
         position->second.last_packet = now;
         position->second.acknowledgment = query.acknowledgment;
       }
-      SendUnknown(source, query.tuple, "not_held");
+      Report(Kind::kUnknownThere, query.tuple, source, "not_held");
+      m_output->SendToNode(
+          source, FlowUnknownMessage{
+                      query.tuple, true,
+                      is_known && HasReturnedPacket(position->second, now)});
       return;
     case Holding::kUnsure:
       if (m_phase == AgentPhase::kStopping) {
@@ -556,7 +565,7 @@
 
 void FlowTracker::OnBouncedPacket(const FlowPacket& packet,
                                   std::span<std::uint8_t> datagram,
-                                  TimePoint /*now*/) {
+                                  TimePoint now) {
   const FlowTuple tuple{packet.source, packet.destination};
   const auto position = m_flows.find(tuple);
   if (position == m_flows.end()) {
@@ -579,6 +588,7 @@
     return;
   }
   if (IsUnproven(flow) || flow.state == State::kAbsent) {
+    position->second.returned = now;
     MarkAbsent(&position->second);
     SendUnknown(flow.balancer, tuple, "handed_back");
     return;
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -29,8 +29,8 @@
 constexpr std::uint32_t kDeliverFields = 8;
 constexpr std::uint32_t kReturnFields = 3;
 constexpr std::uint32_t kFlowUnknownFields = 5;
-/// The same for an answer that is not certain.
-constexpr std::uint32_t kFlowUncertainFields = 6;
+/// The same for an answer that is not certain, or after a returned packet.
+constexpr std::uint32_t kFlowUnknownDetailFields = 7;
 constexpr std::uint32_t kFlowQueryFields = 7;
 constexpr std::uint32_t kFlowHandoverFields = 8;
 constexpr std::uint32_t kLivenessQueryFields = 1;
@@ -120,11 +120,13 @@
 }
 
 void Write(MsgpackWriter* writer, const FlowUnknownMessage& message) {
+  const bool has_detail = !message.is_certain || message.has_returned;
   WriteHead(writer, Kind::kFlowUnknown,
-            message.is_certain ? kFlowUnknownFields : kFlowUncertainFields);
+            has_detail ? kFlowUnknownDetailFields : kFlowUnknownFields);
   WriteTuple(writer, message.tuple);
-  if (!message.is_certain) {
+  if (has_detail) {
     writer->WriteBool(message.is_certain);
+    writer->WriteBool(message.has_returned);
   }
 }
 
@@ -282,9 +284,10 @@
   return {ReadTuple(reader)};
 }
 
-FlowUnknownMessage ReadFlowUncertain(MsgpackReader* reader) {
+FlowUnknownMessage ReadFlowUnknownDetail(MsgpackReader* reader) {
   FlowUnknownMessage message = ReadFlowUnknown(reader);
   message.is_certain = reader->ReadBool();
+  message.has_returned = reader->ReadBool();
   return message;
 }
 
@@ -435,7 +438,8 @@
     {Kind::kDeliver, kDeliverFields, ReadAs<ReadDeliver>},
     {Kind::kReturn, kReturnFields, ReadAs<ReadReturn>},
     {Kind::kFlowUnknown, kFlowUnknownFields, ReadAs<ReadFlowUnknown>},
-    {Kind::kFlowUnknown, kFlowUncertainFields, ReadAs<ReadFlowUncertain>},
+    {Kind::kFlowUnknown, kFlowUnknownDetailFields,
+     ReadAs<ReadFlowUnknownDetail>},
     {Kind::kBalancerHeartbeat, kHeartbeatFields, ReadAs<ReadHeartbeat>},
     {Kind::kAgentStatus, kStatusFields, ReadAs<ReadStatus>},
     {Kind::kAgentStatus, kNumberedStatusFields, ReadAs<ReadNumberedStatus>},
--- a/src/libflow/upstreamflow.h
+++ b/src/libflow/upstreamflow.h
@@ -47,6 +47,8 @@
   /// Balancer that forwarded the caller's last packet.
   SocketAddress balancer;
   TimePoint opened{};
+  /// When the upstream returned a packet of the flow.
+  TimePoint returned{};
   TimePoint last_packet{};
 };
 
--- a/tests/libflow/nodemessagecodectest.cpp
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -135,11 +135,15 @@
   REQUIRE(liveness);
   CHECK(std::holds_alternative<LivenessQuery>(*liveness));
   for (const bool is_certain : {false, true}) {
-    const auto answer =
-        DecodeNodeMessage(Encode(FlowUnknownMessage{tuple, is_certain}));
-    REQUIRE(answer);
-    CHECK(std::get<FlowUnknownMessage>(*answer).tuple == tuple);
-    CHECK(std::get<FlowUnknownMessage>(*answer).is_certain == is_certain);
+    for (const bool has_returned : {false, true}) {
+      const auto answer = DecodeNodeMessage(
+          Encode(FlowUnknownMessage{tuple, is_certain, has_returned}));
+      REQUIRE(answer);
+      const auto& read = std::get<FlowUnknownMessage>(*answer);
+      CHECK(read.tuple == tuple);
+      CHECK(read.is_certain == is_certain);
+      CHECK(read.has_returned == has_returned);
+    }
   }
 }
 
--- a/tests/libflow/straypackettest.cpp
+++ b/tests/libflow/straypackettest.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "flowsite.h"
+#include "libflow/flowknowledge.h"
 #include "straypacketlog.h"
 
 namespace fireflytrestle {
@@ -273,4 +274,28 @@
   CHECK(site.resets.empty());
 }
 
+// Guards against FLOW (b): two balancers search for a flow in turn, and each
+// passes its packet to as many other upstreams as one may.
+TEST_CASE("searches of two balancers together reach few other upstreams") {
+  constexpr std::size_t kAgents = 11;
+  FlowSite site(2, kAgents);
+  const StrayPacketLog log(&site);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  REQUIRE(OpenAndReport(&site, tuple) != nullptr);
+  for (std::size_t i = 0; i < kAgents; ++i) {
+    site.StartAgent(i);
+  }
+  site.StartBalancer(0);
+  site.StartBalancer(1);
+  site.Publish();
+  // The agents were killed for too long ago to be in an outage.
+  site.Run(FlowKnowledge::kRecoveryTime);
+  site.SendRequest(0, tuple, 2);
+  site.Run(milliseconds(200));
+  site.SendRequest(1, tuple, 2);
+  site.Run(StrayPacketLog::kFlowTime);
+  CHECK(site.Decisions("flow_probed owner_unknown") > 0);
+  CHECK(log.MostStrayPackets(tuple) < StrayPacketLog::kMinStrayPackets);
+}
+
 }  // namespace fireflytrestle
