Test of a reset of a flow whose SYN was answered through another balancer

A copy of the SYN had opened the flow through another balancer, and the search ended in a reset of the open flow.

--- a/tests/libflow/plannedworktest.cpp
+++ b/tests/libflow/plannedworktest.cpp
@@ -989,6 +989,44 @@
   CHECK(site.ResetsOf(tuple) == 0);
 }
 
+// Guards against FLOW (a): a balancer that sent a SYN to two agents without an
+// answer searches for the flow at these only, while a copy of the SYN has
+// opened it through another balancer.
+TEST_CASE("a flow with unanswered SYNs is searched for at all agents") {
+  FlowSite site(2, 5, 3, {2, 2});
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  const SocketAddress first = site.balancers[0]->address;
+  site.is_lost = [&](const SocketAddress& from, const SocketAddress&) {
+    return from == first;
+  };
+  // The selected agents then get no new flows.
+  site.on_decision = [&](const SocketAddress& self,
+                         const FlowDecision& decision) {
+    for (const auto& agent : site.agents) {
+      if (self == first && decision.tuple == tuple &&
+          agent->address == decision.peer) {
+        agent->entry.draining = true;
+        site.BumpRevision(agent.get());
+      }
+    }
+  };
+  site.SendSyn(0, tuple);
+  site.Run(milliseconds(200));
+  site.SendSyn(0, tuple);
+  site.is_lost = nullptr;
+  site.on_decision = nullptr;
+  site.Publish();
+  site.Run(milliseconds(400));
+  site.Open(1, tuple);
+  site.Run(milliseconds(300));
+  REQUIRE(site.OwnerOf(tuple) != nullptr);
+  REQUIRE_FALSE(site.OwnerOf(tuple)->entry.draining);
+  site.SendRequest(0, tuple, 2);
+  site.Run(milliseconds(300));
+  CHECK(site.ResetsOf(tuple) == 0);
+  CHECK(site.AnswersTo(tuple) == 2);
+}
+
 // Guards against FLOW, both halves: during planned work alone, an open flow is
 // reset, or three of its packets arrive at other upstreams within 2 s and none
 // at its own.
