--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -45,6 +45,14 @@
   /// Whether the agent reports as often as requested and is not silent.
   bool IsReporting() const;
 
+  /// Records that the agent was asked for a report that is overdue.
+  void OnQueried(TimePoint now);
+  /// Discards the queries that were sent while answers could not be expected.
+  void ClearQueries() { m_unanswered_queries = 0; }
+  /// Number of queries since the last report.
+  int unanswered_queries() const { return m_unanswered_queries; }
+  TimePoint last_query() const { return m_last_query; }
+
   /// Records that a packet was forwarded to the agent, and requests frequent
   /// reports.
   void OnForwarded(TimePoint now);
@@ -143,13 +151,14 @@
   TimePoint m_cold_until{};
   std::uint32_t m_cold_rate_milli = 0;
 
+  int m_unanswered_queries = 0;
+  TimePoint m_last_query{};
   std::chrono::milliseconds m_wanted_interval{0};
   TimePoint m_reports_wanted_since{};
   TimePoint m_last_forwarded{};
 
   // From the agent's reports and answers.
   std::string m_reported_service;
-  bool m_needs_handover = false;
   /// When the agent's present run was first heard of.
   TimePoint m_run_heard{};
   std::optional<TimePoint> m_last_report;
@@ -160,6 +169,7 @@
   /// Number of the last report; 0 if the agent does not number them.
   std::uint64_t m_report_number = 0;
   AgentPhase m_phase = AgentPhase::kServing;
+  bool m_needs_handover = false;
   std::uint32_t m_running = 0;
   std::uint32_t m_long_flows = 0;
   /// Opening time of the oldest open flow, according to the last report.
