Ask all agents for a flow that none of those with its SYN holds

A SYN that went to several agents without an answer was searched for at these only. The search now goes on with all other agents. A stage ends after 30 ms also when the caller sends several packets, so that the second packet of a flow does not begin the next one.

'a flow with unanswered SYNs is searched for at all agents' failed before and passes.

--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -258,10 +258,14 @@
     if (entry->pending_agents.empty()) {
       entry->state = State::kOpen;
     } else {
-      // Several agents have the SYN. The caller has chosen one of them, and a
-      // search finds out which.
+      // Several agents have the SYN. The caller has chosen one of them, or one
+      // that got a copy through another balancer.
       entry->state = State::kSearching;
+      entry->stage_began = now;
+      entry->last_probe = now;
       entry->pending_agents.push_back(std::exchange(entry->owner, nullptr));
+      entry->later_stages = {AgentsWithout(entry->pending_agents)};
+      m_staged_searches.push_back(tuple);
     }
   }
   if (entry->state == State::kSearching) {
@@ -274,8 +278,14 @@
     pending.insert(pending.end(), entry->unsure_agents.begin(),
                    entry->unsure_agents.end());
     entry->unsure_agents.clear();
-    if (!TryEndSearch(tuple, entry, now) && QueryNextStage(tuple, entry, now) &&
-        !AskAgents(tuple, pending, entry, now)) {
+    if (TryEndSearch(tuple, entry, now)) {
+      return;
+    }
+    const bool is_stage_over = now - entry->stage_began >= kStageTimeout;
+    if (is_stage_over && !QueryNextStage(tuple, entry, now)) {
+      return;
+    }
+    if (!AskAgents(tuple, pending, entry, now)) {
       AbandonSearch(tuple, packet.acknowledgment, now);
     }
     return;
@@ -290,6 +300,17 @@
   Deliver(*entry, datagram, now);
 }
 
+std::vector<AgentPeerPtr> FlowRouter::AgentsWithout(
+    const std::vector<AgentPeerPtr>& excluded) const {
+  std::vector<AgentPeerPtr> agents;
+  for (const auto& [address, agent] : m_agents.all()) {
+    if (std::find(excluded.begin(), excluded.end(), agent) == excluded.end()) {
+      agents.push_back(agent);
+    }
+  }
+  return agents;
+}
+
 void FlowRouter::StartSearch(const FlowPacket& packet,
                              const FlowTuple& tuple,
                              std::span<const std::uint8_t> datagram,
@@ -312,7 +333,7 @@
   entry->state = State::kSearching;
   entry->placed = now;
   entry->stage_began = now;
-  entry->probes_began = now;
+  entry->last_probe = now;
   HoldPacket(datagram, packet, entry);
   if (m_agents.all().size() >= kMinStagedAgents &&
       m_loss_detector.ShouldDeferSearches(now) && !packet.reset) {
@@ -527,8 +548,7 @@
     return;
   }
   auto& probed = entry->probed_agents;
-  if (now - entry->probes_began >= kStrayWindow) {
-    entry->probes_began = now;
+  if (now - entry->last_probe >= kStrayWindow) {
     entry->stray_arrivals = 0;
     probed.clear();
   }
@@ -555,6 +575,7 @@
     if (counts) {
       probed.push_back(agent);
     }
+    entry->last_probe = now;
     Report(Kind::kProbed, tuple, agent.get(),
            is_outage ? "outage" : "owner_unknown", now);
     SendSearchPacket(agent, entry);
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -120,6 +120,8 @@
                       const FlowTuple& tuple,
                       const RouteSettings& route,
                       TimePoint now);
+  std::vector<AgentPeerPtr> AgentsWithout(
+      const std::vector<AgentPeerPtr>& excluded) const;
   /// Keeps the packet for the owner that a search finds. A packet with data is
   /// not replaced by one without.
   void HoldPacket(std::span<const std::uint8_t> datagram,
