Send few queries while the reports of most agents are late

Cause: agents were queried from 250 ms on, also when the detector knew that reports were late in general and waited longer before it judged them.

Change: while reports are late in general, the first query waits by the same time as the judgement, and an agent gets at most four queries without a report in between.

--- a/src/libflow/agentfailuredetector.cpp
+++ b/src/libflow/agentfailuredetector.cpp
@@ -62,16 +62,21 @@
     if (!IsExpected(*agent)) {
       continue;
     }
-    const milliseconds timeout = SilenceTimeoutFor(*agent);
+    // If reports are late by any time up to a maximum with equal probability,
+    // the maximum is twice the median. Queries wait for the confirmed lateness
+    // too, since they would add to the load of a slow path.
+    const milliseconds timeout =
+        SilenceTimeoutFor(*agent) + 2 * ConfirmedLateness(now);
     const Duration age = TimeSinceReport(*agent, now);
     if (age < timeout - kQueryTime || now - agent->last_query() < kAnswerTime) {
       continue;
     }
-    if (age >= timeout + GeneralDelay(now) &&
-        agent->unanswered_queries() >= kMinQueries) {
+    const milliseconds judged_after =
+        SilenceTimeoutFor(*agent) + 2 * GeneralLateness(now);
+    if (age >= judged_after && agent->unanswered_queries() >= kMinQueries) {
       agent->set_silent(true);
       silenced.push_back(agent);
-    } else {
+    } else if (agent->unanswered_queries() < kMaxQueries) {
       agent->OnQueried(now);
       m_overdue.push_back(agent);
     }
@@ -136,17 +141,14 @@
   m_had_frequent_quorum = has_frequent_quorum;
 }
 
-milliseconds AgentFailureDetector::GeneralDelay(TimePoint now) const {
-  milliseconds lateness{0};
-  if (now - m_lateness_confirmed < kLatenessMemory) {
-    lateness = m_lateness;
-  }
-  if (m_had_frequent_quorum) {
-    lateness = std::max(lateness, m_present_lateness);
-  }
-  // If reports are late by any time up to a maximum with equal probability, the
-  // maximum is twice the median.
-  return 2 * lateness;
+milliseconds AgentFailureDetector::ConfirmedLateness(TimePoint now) const {
+  return now - m_lateness_confirmed < kLatenessMemory ? m_lateness
+                                                      : milliseconds(0);
+}
+
+milliseconds AgentFailureDetector::GeneralLateness(TimePoint now) const {
+  return std::max(ConfirmedLateness(now),
+                  m_had_frequent_quorum ? m_present_lateness : milliseconds(0));
 }
 
 milliseconds AgentFailureDetector::SilenceTimeoutFor(const AgentPeer& agent) {
--- a/src/libflow/agentfailuredetector.h
+++ b/src/libflow/agentfailuredetector.h
@@ -40,6 +40,8 @@
   /// Number of queries that an agent must leave unanswered before it counts as
   /// silent, since regular reports may have been lost.
   static constexpr int kMinQueries = 2;
+  /// Limit on the queries that an agent gets without a report in between.
+  static constexpr int kMaxQueries = 4;
   /// The lateness of reports in general is remembered for this long, since
   /// reports that were held up arrive over a while.
   static constexpr std::chrono::milliseconds kLatenessMemory{1000};
@@ -80,9 +82,10 @@
   void OnLateness(std::chrono::milliseconds lateness,
                   bool has_frequent_quorum,
                   TimePoint now);
-  /// Returns how much longer than usual a report may be missing while reports
-  /// are late in general.
-  std::chrono::milliseconds GeneralDelay(TimePoint now) const;
+  /// Returns by how much the reports of most agents were late recently.
+  std::chrono::milliseconds ConfirmedLateness(TimePoint now) const;
+  /// The same, or by how much they are late at present if that is more.
+  std::chrono::milliseconds GeneralLateness(TimePoint now) const;
 
   /// The platform kills a stopping process 6 s after the announcement of its
   /// stop.
--- a/tests/libflow/agentfailuretest.cpp
+++ b/tests/libflow/agentfailuretest.cpp
@@ -95,6 +95,26 @@
   CHECK(site.liveness_queries <= 3);
 }
 
+// Guards against queries that multiply the messages on a path that is slow
+// because it has too many: answers to them are as late as the reports.
+TEST_CASE("reports that are late in general cause few queries") {
+  constexpr std::size_t kAgents = 10;
+  FlowSite site(1, kAgents);
+  std::size_t reports = 0;
+  site.delay_of = [&](const SocketAddress&,
+                      const SocketAddress& to) -> Duration {
+    if (to != site.balancers[0]->address) {
+      return {};
+    }
+    ++reports;
+    constexpr Duration kBurstInterval = milliseconds(300);
+    return kBurstInterval -
+           site.clock.Now().time_since_epoch() % kBurstInterval;
+  };
+  site.Run(std::chrono::seconds(10));
+  CHECK(site.liveness_queries <= reports / 10);
+}
+
 TEST_CASE("new flows are not placed on a silent agent") {
   FlowSite site(1, 3);
   site.agents[0]->running = false;
