Do not act on silence from before a pause of the balancer

What callers saw: a balancer that had been paused reset a flow with agent_silent as its first act, although the agent had been back for long.

Cause: a pause was noticed at the next tick only; callers' packets that waited in the socket are handled before it.

Change: the detector is not reliable if its last tick is longer ago than kPauseThreshold.

Measured: "a balancer that was paused does not act on silence from before" failed before the change and passes with it; all other tests of libflow as before.

--- a/src/libflow/agentfailuredetector.cpp
+++ b/src/libflow/agentfailuredetector.cpp
@@ -163,7 +163,8 @@
 }
 
 bool AgentFailureDetector::IsReliable(TimePoint now) const {
-  return m_quorum && now - m_resumed >= kSilenceTimeout;
+  return m_quorum && now - m_last_tick <= kPauseThreshold &&
+         now - m_resumed >= kSilenceTimeout;
 }
 
 }  // namespace fireflytrestle
--- a/tests/libflow/agentfailuretest.cpp
+++ b/tests/libflow/agentfailuretest.cpp
@@ -140,6 +140,32 @@
   CHECK(site.AnswersTo(tuple) == 2);
 }
 
+// Guards against resets of open flows (FLOW) by a balancer that handles
+// callers' packets before anything else when it runs again: the silence of an
+// agent that it knows of is as old as the pause.
+TEST_CASE("a balancer that was paused does not act on silence from before") {
+  FlowSite site(2, 4);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(1, tuple);
+  site.Run(milliseconds(300));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  site.is_lost = [&](const SocketAddress& from, const SocketAddress& to) {
+    return (from == owner->address && to == site.balancers[0]->address) ||
+           (to == owner->address && from == site.balancers[0]->address);
+  };
+  site.Run(kResetDeadline);
+  const AgentTable& table = site.balancers[0]->router->agents();
+  REQUIRE(table.Find(owner->address)->silent());
+  site.balancers[0]->running = false;
+  site.is_lost = nullptr;
+  site.Run(std::chrono::seconds(1));
+  site.balancers[0]->running = true;
+  site.SendRequest(0, tuple, 2);
+  site.Run(std::chrono::seconds(1));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) == 2);
+}
+
 TEST_CASE(
     "a balancer that receives no reports does not treat agents as silent") {
   FlowSite site(1, 3);
