Announce a stop to the seeds, too

What callers saw: flows of an agent that was stopped as planned right after a restart were reset with agent_silent by a balancer that was not told.

Cause: an agent reports to its seeds until it knows a balancer, and sends notices to the balancers that it knows. If it knows another balancer by the time of the stop, and the first heartbeats of the seed were lost, the seed has a report that says "serving" and gets no notice.

Change: notices go to known balancers and to the seeds.

Measured: "an agent that stops right after its start announces it to seeds" failed before the change and passes with it; all other tests of libflow as before.

--- a/src/libflow/statusreporter.cpp
+++ b/src/libflow/statusreporter.cpp
@@ -54,7 +54,14 @@
 
 void StatusReporter::SendToAll(const AgentStatus& status,
                                const BalancerTable& balancers) {
-  for (const SocketAddress& balancer : Receivers(balancers)) {
+  std::vector<SocketAddress> receivers = balancers.Addresses();
+  for (const SocketAddress& seed : m_seeds) {
+    if (std::find(receivers.begin(), receivers.end(), seed) ==
+        receivers.end()) {
+      receivers.push_back(seed);
+    }
+  }
+  for (const SocketAddress& balancer : receivers) {
     SendTo(balancer, status, {}, balancers);
   }
 }
--- a/src/libflow/statusreporter.h
+++ b/src/libflow/statusreporter.h
@@ -37,7 +37,8 @@
   void Send(const AgentStatus& status, BalancerTable* balancers, TimePoint now);
 
   /// Sends a report without flows at once to all balancers, also to those that
-  /// want no regular ones.
+  /// want no regular ones, and to the seeds: they may have got reports before
+  /// another balancer was known.
   void SendToAll(const AgentStatus& status, const BalancerTable& balancers);
 
   /// Sends a report with \p flows to one balancer at once.
--- a/tests/libflow/agentfailuretest.cpp
+++ b/tests/libflow/agentfailuretest.cpp
@@ -337,6 +337,42 @@
   CHECK(site.resets.empty());
 }
 
+// Guards against resets of open flows (FLOW) of an agent that is stopped again
+// right after its restart: it has reported to its seed, but knows only another
+// balancer, and would announce the stop to that one alone.
+TEST_CASE("an agent that stops right after its start announces it to seeds") {
+  FlowSite site(2, 3);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(300));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  const std::size_t index = owner->address.ipv4 - site.agents[0]->address.ipv4;
+  const auto restart_after = [&](milliseconds away) {
+    owner->tracker->BeginStop(site.clock.Now());
+    site.Run(FlowTracker::kNoticeTime);
+    owner->running = false;
+    site.Run(away);
+    site.StartAgent(index);
+  };
+  restart_after(milliseconds(1500));
+  // The seed's messages to the new run are lost.
+  site.is_lost = [&](const SocketAddress& from, const SocketAddress& to) {
+    return from == site.balancers[0]->address && to == owner->address;
+  };
+  BalancerHeartbeat heartbeat;
+  heartbeat.incarnation = Incarnation{1};
+  site.Run(milliseconds(50));
+  owner->tracker->OnNodeMessage(site.balancers[1]->address, heartbeat,
+                                site.clock.Now());
+  restart_after(milliseconds(1500));
+  site.is_lost = nullptr;
+  site.Run(milliseconds(500));
+  CHECK(site.resets.empty());
+  site.SendRequest(0, tuple, 2);
+  site.Run(milliseconds(200));
+  CHECK(site.AnswersTo(tuple) == 2);
+}
+
 // Guards against resets of open flows (FLOW) of an agent that is restarted as
 // planned, by a balancer that asks it for reports only then.
 TEST_CASE("balancers that want no reports learn that an agent stops") {
