List a planned stop whose notices to one balancer are lost

The test fails: a balancer that none of the four notices of a planned stop reaches (150 ms of loss from the agent to it) resets the flows of the agent with agent_silent after 350 ms, although the stop is planned and the upstream holds the flows (FLOW counts under planned work always). The agent has ended by the time of the first query. The balancers that got a notice could be asked; nothing connects balancers for this today.

--- a/tests/libflow/agentfailuretest.cpp
+++ b/tests/libflow/agentfailuretest.cpp
@@ -373,6 +373,25 @@
   CHECK(site.AnswersTo(tuple) == 2);
 }
 
+// Guards against resets of open flows (FLOW) of an agent that is restarted as
+// planned, by a balancer that none of its notices reaches.
+TEST_CASE("a planned stop whose notices to one balancer are lost resets none") {
+  FlowSite site(2, 3);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(300));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  site.is_lost = [&](const SocketAddress& from, const SocketAddress& to) {
+    return from == owner->address && to == site.balancers[0]->address;
+  };
+  owner->tracker->BeginStop(site.clock.Now());
+  site.Run(FlowTracker::kNoticeTime);
+  owner->running = false;
+  site.is_lost = nullptr;
+  site.Run(milliseconds(1500));
+  CHECK(site.resets.empty());
+}
+
 // Guards against resets of open flows (FLOW) of an agent that is restarted as
 // planned, by a balancer that asks it for reports only then.
 TEST_CASE("balancers that want no reports learn that an agent stops") {
