--- a/tests/libflow/agentfailuretest.cpp
+++ b/tests/libflow/agentfailuretest.cpp
@@ -95,6 +95,26 @@
   CHECK(site.liveness_queries <= 3);
 }
 
+// Guards against queries that multiply the messages on a path that is slow
+// because it has too many: answers to them are as late as the reports.
+TEST_CASE("reports that are late in general cause few queries") {
+  constexpr std::size_t kAgents = 10;
+  FlowSite site(1, kAgents);
+  std::size_t reports = 0;
+  site.delay = [&](const SocketAddress&,
+                      const SocketAddress& to) -> Duration {
+    if (to != site.balancers[0]->address) {
+      return {};
+    }
+    ++reports;
+    constexpr Duration kBurstInterval = milliseconds(300);
+    return kBurstInterval -
+           site.clock.Now().time_since_epoch() % kBurstInterval;
+  };
+  site.Run(std::chrono::seconds(10));
+  CHECK(site.liveness_queries <= reports / 10);
+}
+
 TEST_CASE("new flows are not placed on a silent agent") {
   FlowSite site(1, 3);
   site.agents[0]->running = false;
@@ -120,6 +140,32 @@
   CHECK(site.AnswersTo(tuple) == 2);
 }
 
+// Guards against resets of open flows (FLOW) by a balancer that handles
+// callers' packets before anything else when it runs again: the silence of an
+// agent that it knows of is as old as the pause.
+TEST_CASE("a balancer that was paused does not act on silence from before") {
+  FlowSite site(2, 4);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(1, tuple);
+  site.Run(milliseconds(300));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  site.is_lost = [&](const SocketAddress& from, const SocketAddress& to) {
+    return (from == owner->address && to == site.balancers[0]->address) ||
+           (to == owner->address && from == site.balancers[0]->address);
+  };
+  site.Run(kResetDeadline);
+  const AgentTable& table = site.balancers[0]->router->agents();
+  REQUIRE(table.Find(owner->address)->silent());
+  site.balancers[0]->running = false;
+  site.is_lost = nullptr;
+  site.Run(std::chrono::seconds(1));
+  site.balancers[0]->running = true;
+  site.SendRequest(0, tuple, 2);
+  site.Run(std::chrono::seconds(1));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) == 2);
+}
+
 TEST_CASE(
     "a balancer that receives no reports does not treat agents as silent") {
   FlowSite site(1, 3);
@@ -291,6 +337,61 @@
   CHECK(site.resets.empty());
 }
 
+// Guards against resets of open flows (FLOW) of an agent that is stopped again
+// right after its restart: it has reported to its seed, but knows only another
+// balancer, and would announce the stop to that one alone.
+TEST_CASE("an agent that stops right after its start announces it to seeds") {
+  FlowSite site(2, 3);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(300));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  const std::size_t index = owner->address.ipv4 - site.agents[0]->address.ipv4;
+  const auto restart_after = [&](milliseconds away) {
+    owner->tracker->BeginStop(site.clock.Now());
+    site.Run(FlowTracker::kNoticeTime);
+    owner->running = false;
+    site.Run(away);
+    site.StartAgent(index);
+  };
+  restart_after(milliseconds(1500));
+  // The seed's messages to the new run are lost.
+  site.is_lost = [&](const SocketAddress& from, const SocketAddress& to) {
+    return from == site.balancers[0]->address && to == owner->address;
+  };
+  BalancerHeartbeat heartbeat;
+  heartbeat.incarnation = Incarnation{1};
+  site.Run(milliseconds(50));
+  owner->tracker->OnNodeMessage(site.balancers[1]->address, heartbeat,
+                                site.clock.Now());
+  restart_after(milliseconds(1500));
+  site.is_lost = nullptr;
+  site.Run(milliseconds(500));
+  CHECK(site.resets.empty());
+  site.SendRequest(0, tuple, 2);
+  site.Run(milliseconds(200));
+  CHECK(site.AnswersTo(tuple) == 2);
+}
+
+// Guards against resets of open flows (FLOW) of an agent that is restarted as
+// planned, by a balancer that none of its notices reaches.
+TEST_CASE("a planned stop whose notices to one balancer are lost resets none") {
+  FlowSite site(2, 3);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(300));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  site.is_lost = [&](const SocketAddress& from, const SocketAddress& to) {
+    return from == owner->address && to == site.balancers[0]->address;
+  };
+  owner->tracker->BeginStop(site.clock.Now());
+  site.Run(FlowTracker::kNoticeTime);
+  owner->running = false;
+  site.is_lost = nullptr;
+  site.Run(milliseconds(1500));
+  CHECK(site.resets.empty());
+}
+
 // Guards against resets of open flows (FLOW) of an agent that is restarted as
 // planned, by a balancer that asks it for reports only then.
 TEST_CASE("balancers that want no reports learn that an agent stops") {
