Soak: count arrivals of an open flow's packets in sliding windows, and play planned work only

Cause: the check of packets at other upstreams counted copies of a packet once, in windows that began with the first one, and was switched off while any balancer had a fault.

Change: each arrival counts, spans slide, and a case is left out only if the machine of the flow's own upstream, or a balancer that got the packet, had an unplanned fault within 4 s. A violation and an event carry the time of day, as log lines do, and an unexpected exit its exit code or signal.

--- a/tests/fakes/siteprocesses.cpp
+++ b/tests/fakes/siteprocesses.cpp
@@ -59,6 +59,20 @@
   return ended ? process->second->exitCode() : -1;
 }
 
+std::string SiteProcesses::DescribeEnd(const std::string& name) const {
+  const auto process = m_processes.find(name);
+  if (process == m_processes.end()) {
+    return "never started";
+  }
+  if (process->second->error() == QProcess::FailedToStart) {
+    return "failed to start: " + process->second->errorString().toStdString();
+  }
+  // QProcess stores the number of the signal in place of the exit code.
+  return (process->second->exitStatus() == QProcess::CrashExit ? "signal "
+                                                               : "exit code ") +
+         std::to_string(process->second->exitCode());
+}
+
 int SiteProcesses::RunControl(const QStringList& arguments) {
   QProcess process;
   process.setProcessChannelMode(QProcess::MergedChannels);
--- a/tests/fakes/siteprocesses.h
+++ b/tests/fakes/siteprocesses.h
@@ -32,6 +32,9 @@
   /// was ended by a signal or was never started.
   int ExitCode(const std::string& name) const;
 
+  /// Returns how a process that is not running ended, for messages.
+  std::string DescribeEnd(const std::string& name) const;
+
   /// Runs fireflytrestle-ctl and returns its exit code, or -1 if it does not
   /// finish within 10 s or does not exit normally.
   int RunControl(const QStringList& arguments);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,8 +10,8 @@
 namespace fireflytrestle {
 namespace {
 
-/// Load of extended runs: flows at each upstream, and orders that wait at any
-/// agent that is paused.
+/// Load of extended and planned runs: flows at each upstream, and orders that
+/// wait at any agent that is paused.
 constexpr std::size_t kFeedsPerAgent = 4;
 constexpr int kExtendedOrdersPerSecond = 200;
 
@@ -25,8 +25,18 @@
   int agents = 5;
   int network = 30;
   int extended = 0;
+  int planned = 0;
+  int no_first_start = 0;
 };
 
+SoakRun::Faults SelectFaults(const Options& options) {
+  if (options.planned != 0) {
+    return SoakRun::Faults::kPlanned;
+  }
+  return options.extended != 0 ? SoakRun::Faults::kExtended
+                               : SoakRun::Faults::kBasic;
+}
+
 /// Returns whether the site became ready and no invariant was violated.
 bool RunSeed(const Options& options, std::uint64_t seed) {
   const QString logs = QString(options.work) + "/" + QString::number(seed);
@@ -35,7 +45,9 @@
   SoakSite::Size size;
   size.balancers = static_cast<std::size_t>(options.balancers);
   size.agents = static_cast<std::size_t>(options.agents);
-  if (options.extended != 0) {
+  size.is_planned_only = options.planned != 0;
+  size.has_first_start_flag = options.no_first_start == 0;
+  if (options.extended != 0 || options.planned != 0) {
     size.has_idle_feeds = true;
     size.feeds = kFeedsPerAgent * size.agents;
     size.orders_per_second = kExtendedOrdersPerSecond;
@@ -46,9 +58,7 @@
                 static_cast<unsigned long long>(seed), qPrintable(logs));
     return false;
   }
-  SoakRun run(&site, seed,
-              options.extended != 0 ? SoakRun::Faults::kExtended
-                                    : SoakRun::Faults::kBasic);
+  SoakRun run(&site, seed, SelectFaults(options));
   run.Run(std::chrono::seconds(options.seconds));
   std::printf("seed %llu: %s, violations %zu\n",
               static_cast<unsigned long long>(seed), site.Summary().c_str(),
@@ -84,6 +94,13 @@
        "also stop processes in series, reuse addresses, write odd entries and "
        "cut off two readers of the store",
        nullptr},
+      {"planned", 0, POPT_ARG_NONE, &options.planned, 0,
+       "planned work only: restarts, reloads, changes of configuration, zones "
+       "and upstreams; FLOW then holds without exception",
+       nullptr},
+      {"no-first-start", 0, POPT_ARG_NONE, &options.no_first_start, 0,
+       "do not pass --first-start to agents, for programs that lack it",
+       nullptr},
       {"programs", 0, POPT_ARG_STRING, &options.programs, 0,
        "folder of the programs", "FOLDER"},
       {"work", 0, POPT_ARG_STRING, &options.work, 0, "folder for logs",
@@ -99,10 +116,11 @@
   if (parsed != -1 || options.programs == nullptr || options.work == nullptr ||
       !within(options.balancers, 1, 40) || !within(options.agents, 2, 150) ||
       !within(options.network, 2, 250) || !within(options.seconds, 1, 3600) ||
-      options.seed < 0 || options.seeds < 1) {
+      options.seed < 0 || options.seeds < 1 ||
+      (options.extended != 0 && options.planned != 0)) {
     std::fprintf(stderr,
-                 "--programs and --work are needed, numbers must be in range; "
-                 "see --help\n");
+                 "--programs and --work are needed, numbers must be in range, "
+                 "--extended and --planned exclude each other; see --help\n");
     return 2;
   }
   int failed = 0;
--- a/tests/soak/soakcallers.cpp
+++ b/tests/soak/soakcallers.cpp
@@ -222,7 +222,7 @@
     (*socket)->Flush();
   }
   std::copy(bytes.begin(), bytes.end(), (*socket)->NextBuffer().begin());
-  (*socket)->Queue(m_callbacks.route(tuple), bytes.size());
+  (*socket)->Queue(m_callbacks.route(tuple, sent), bytes.size());
 }
 
 }  // namespace fireflytrestle
--- a/tests/soak/soakcallers.h
+++ b/tests/soak/soakcallers.h
@@ -30,8 +30,8 @@
   };
 
   struct Callbacks {
-    /// Returns the address of the balancer that receives a flow's packets.
-    std::function<SocketAddress(const FlowTuple&)> route;
+    /// Returns the address of the balancer that receives a packet of the flow.
+    std::function<SocketAddress(const FlowTuple&, const FlowPacket&)> route;
     /// The process at \p sender has sent a reset for the flow.
     std::function<void(const FlowTuple&, const SocketAddress& sender)> on_reset;
     /// An answer has arrived that belongs to no request of the flow.
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -1,5 +1,6 @@
 #include "soak/soakrun.h"
 
+#include <QDateTime>
 #include <csignal>
 #include <utility>
 
@@ -15,6 +16,11 @@
 /// Time between the end of all faults and the final check, for processes to
 /// start and become stable.
 constexpr milliseconds kSettleTime{5000};
+/// Times for which processes are away at planned work, from their stop signal
+/// to their start.
+constexpr int kMinAwayMs = 100;
+constexpr int kMaxAgentAwayMs = 2400;
+constexpr int kMaxBalancerAwayMs = 6500;
 
 }  // namespace
 
@@ -27,9 +33,10 @@
     if (now >= next_fault) {
       CauseFault();
       // Some longer gaps let processes become stable, since some invariants are
-      // checked for stable processes only.
-      next_fault =
-          now + (Draw(6) == 0 ? DrawTime(5000, 7000) : DrawTime(100, 2500));
+      // checked for stable processes only. Planned work leaves them stable.
+      next_fault = now + (m_faults == Faults::kPlanned ? DrawTime(100, 1500)
+                          : Draw(6) == 0               ? DrawTime(5000, 7000)
+                                                       : DrawTime(100, 2500));
     }
   }
   m_scheduled_actions.clear();
@@ -60,6 +67,68 @@
   }
 }
 
+void SoakRun::DoPlannedWork() {
+  switch (Draw(8)) {
+    case 0:
+    case 1:
+    case 2:
+      RestartAgentsTogether();
+      break;
+    case 3:
+    case 4:
+      RestartBalancers();
+      break;
+    case 5:
+      SignalRunning(Draw(m_site->instances()), SIGHUP);
+      break;
+    case 6:
+      DrainUpstream(Draw(m_site->instances() - m_site->balancers()));
+      break;
+    default:
+      ChangeConfigurationOrZone();
+  }
+}
+
+void SoakRun::RestartAgentsTogether() {
+  const std::size_t agents = m_site->instances() - m_site->balancers();
+  const std::size_t stopped = 1 + Draw((agents + 2) / 3);
+  const std::size_t begin = Draw(agents);
+  const milliseconds away = DrawTime(kMinAwayMs, kMaxAgentAwayMs);
+  RecordEvent("restart " + std::to_string(stopped) + " agents after " +
+              std::to_string(away.count()) + " ms");
+  for (std::size_t i = 0; i < stopped; ++i) {
+    const std::size_t instance = m_site->balancers() + (begin + i) % agents;
+    // Those that stop later are away for a shorter time.
+    const milliseconds delay =
+        i == 0 ? milliseconds(0)
+               : DrawTime(0, static_cast<int>(away.count()) - kMinAwayMs);
+    RunAfter(delay, [this, instance] { SignalRunning(instance, SIGTERM); });
+    RunAfter(away, [this, instance] { RestartWhenStopped(instance); });
+  }
+}
+
+void SoakRun::RestartBalancers() {
+  const std::size_t stopped = 1 + Draw((m_site->balancers() + 1) / 2);
+  const std::size_t begin = Draw(m_site->balancers());
+  for (std::size_t i = 0; i < stopped; ++i) {
+    const std::size_t instance = (begin + i) % m_site->balancers();
+    const milliseconds delay = DrawTime(0, 1500) * static_cast<int>(i);
+    const milliseconds away = DrawTime(kMinAwayMs, kMaxBalancerAwayMs);
+    RunAfter(delay, [this, instance] { SignalRunning(instance, SIGTERM); });
+    RunAfter(delay + away, [this, instance] { RestartWhenStopped(instance); });
+  }
+}
+
+void SoakRun::SignalRunning(std::size_t instance, int signal) {
+  if (m_faults == Faults::kPlanned &&
+      (!m_site->HasStarted(instance) || m_site->IsStopping(instance))) {
+    return;
+  }
+  RecordEvent((signal == SIGHUP ? "reload " : "stop ") +
+              std::to_string(instance));
+  m_site->Signal(instance, signal);
+}
+
 void SoakRun::CauseExtendedFault() {
   switch (Draw(4)) {
     case 0:
@@ -139,6 +208,10 @@
 }
 
 void SoakRun::CauseFault() {
+  if (m_faults == Faults::kPlanned) {
+    DoPlannedWork();
+    return;
+  }
   if (m_faults == Faults::kExtended && Draw(2) == 0) {
     CauseExtendedFault();
     return;
@@ -244,6 +317,10 @@
     m_site->RestartUpstream(agent);
     return;
   }
+  DrainUpstream(agent);
+}
+
+void SoakRun::DrainUpstream(std::size_t agent) {
   RecordEvent("upstream " + std::to_string(agent) + " drains");
   m_site->SetDraining(agent, true);
   RunAfter(DrawTime(2000, 9000),
@@ -254,7 +331,7 @@
   if (Draw(2) == 0) {
     RecordEvent("configuration changes");
     m_site->PublishConfiguration();
-    m_site->Signal(Draw(m_site->instances()), SIGHUP);
+    SignalRunning(Draw(m_site->instances()), SIGHUP);
     return;
   }
   RecordEvent("zone out");
@@ -280,7 +357,9 @@
 void SoakRun::RecordEvent(const std::string& what) {
   const auto at =
       std::chrono::duration_cast<milliseconds>(m_site->Now() - m_begin);
-  m_history.push_back(std::to_string(at.count()) + " ms: " + what);
+  m_history.push_back(
+      QDateTime::currentDateTimeUtc().toString("hh:mm:ss.zzz ").toStdString() +
+      std::to_string(at.count()) + " ms: " + what);
 }
 
 milliseconds SoakRun::DrawTime(int min_ms, int max_ms) {
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -22,6 +22,10 @@
     /// Also series of planned stops, reused addresses, odd entries, and cuts of
     /// two readers of the store at the moment of a change.
     kExtended,
+    /// Planned work only: agents and balancers are stopped and started again,
+    /// several at a time and overlapping, while the configuration, the state of
+    /// upstreams and the zones in use change.
+    kPlanned,
   };
 
   /// \p site must outlive the run.
@@ -45,6 +49,16 @@
   void CauseExtendedFault();
   /// Stops and starts several processes of one kind in turn, as planned.
   void RollProcesses();
+  void DoPlannedWork();
+  /// Stops several agents one after another and starts all of them at the same
+  /// moment.
+  void RestartAgentsTogether();
+  /// Stops several balancers in turn, for long enough that callers' packets
+  /// move to others.
+  void RestartBalancers();
+  /// Sends a signal, at planned work only to a process that has started and is
+  /// not told to stop: another one would end at once, which is not planned.
+  void SignalRunning(std::size_t instance, int signal);
   /// An upstream ends and its address goes to another service, while the agent
   /// is paused or down.
   void ReuseAddress();
@@ -58,6 +72,7 @@
   void ImpairLink(std::size_t instance);
   void ImpairStore();
   void ChangeUpstream();
+  void DrainUpstream(std::size_t agent);
   void ChangeConfigurationOrZone();
   void KillRandomProcesses();
   void RunAfter(std::chrono::milliseconds time, std::function<void()> action);
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -1,6 +1,7 @@
 #include "soak/soaksite.h"
 
 #include <QCoreApplication>
+#include <QDateTime>
 #include <QEventLoop>
 #include <QTcpSocket>
 #include <QTimer>
@@ -35,9 +36,6 @@
 /// A service keeps more upstreams than this.
 constexpr std::ptrdiff_t kMinUpstreams = 2;
 constexpr milliseconds kReadyTimeout{10000};
-/// Copies that a balancer sends of one packet arrive within this time; callers
-/// repeat a packet after 200 ms.
-constexpr milliseconds kCopyTime{100};
 constexpr milliseconds kProbeInterval{500};
 constexpr milliseconds kReadyAnswerTimeout{300};
 constexpr int kStepMs = 2;
@@ -62,13 +60,16 @@
       m_network(network),
       m_processes(programs, logs),
       m_store(QHostAddress(MakeAddress(kCallers, 100, 1).ipv4), size.balancers),
-      m_proxy(seed, [this](const SocketAddress& proxy_address) {
-        for (Instance& each : m_instances) {
-          if (each.proxy_address == proxy_address) {
-            each.last_message = Now();
-          }
-        }
-      }) {
+      m_proxy(seed,
+              [this](const SocketAddress& proxy_address) {
+                for (Instance& each : m_instances) {
+                  if (each.proxy_address == proxy_address) {
+                    each.last_message = Now();
+                  }
+                }
+              }),
+      m_stray_packets(
+          [this](std::size_t instance) { return IsInTouch(instance); }) {
   for (std::size_t i = 0; i < size.balancers + size.agents; ++i) {
     const bool balancer = IsBalancer(i);
     const std::size_t number = balancer ? i : i - size.balancers;
@@ -91,9 +92,11 @@
         MakeAddress(kAgents, agent, kOutboundPort),
         static_cast<std::uint32_t>(agent + 1),
         SoakUpstream::Observer{
-            [this, agent](const FlowTuple& tuple) { OnOpening(agent, tuple); },
-            [this](const FlowTuple& tuple, bool holds_flow) {
-              OnFlowPacket(tuple, holds_flow);
+            [this, agent](const FlowPacket& packet) {
+              OnOpening(agent, packet);
+            },
+            [this, agent](const FlowPacket& packet, bool holds_flow) {
+              OnFlowPacket(agent, packet, holds_flow);
             },
             [this, agent](const SoakPayload& payload) {
               OnRequestRun(agent, payload);
@@ -121,7 +124,9 @@
   m_callers = std::make_unique<SoakCallers>(
       callers, seed,
       SoakCallers::Callbacks{
-          [this](const FlowTuple& tuple) { return Route(tuple); },
+          [this](const FlowTuple& tuple, const FlowPacket& packet) {
+            return Route(tuple, packet);
+          },
           [this](const FlowTuple& tuple, const SocketAddress& sender) {
             OnReset(tuple, sender);
           },
@@ -194,6 +199,9 @@
     return arguments << "--frontend-address=" + text({ipv4, kPacketPort})
                      << "--platform-address=" + text(store);
   }
+  if (m_size.has_first_start_flag && instance.started == TimePoint{}) {
+    arguments << "--first-start=true";
+  }
   const Upstream& upstream = m_upstreams[index - m_size.balancers];
   return arguments << "--service=s" + QString::number(upstream.service)
                    << "--outbound-address=" + text({ipv4, kOutboundPort})
@@ -214,6 +222,7 @@
                     IsBalancer(index) ? "fireflytrestle-flowbalancer"
                                       : "fireflytrestle-flowagent",
                     Arguments(index));
+  instance.started = instance.last_message;
 }
 
 bool SoakSite::IsRunning(std::size_t instance) const {
@@ -389,7 +398,9 @@
   for (std::size_t i = 0; i < m_instances.size(); ++i) {
     m_processes.Signal(m_instances[i].name, SIGCONT);
     StartProcess(i);
-    MarkFaulty(i);
+    if (!m_size.is_planned_only) {
+      MarkFaulty(i);
+    }
   }
   for (std::size_t balancer = 0; balancer < m_size.balancers; ++balancer) {
     SetStoreFault(balancer, FakeStore::Fault::kNone);
@@ -426,7 +437,7 @@
   if (m_last_step != TimePoint{} && now - m_last_step > kDriverStallThreshold) {
     ++m_stalls;
     for (std::size_t i = 0; i < m_instances.size(); ++i) {
-      MarkFaulty(i);
+      MarkStalled(i);
     }
   }
   m_last_step = now;
@@ -442,8 +453,8 @@
       ProbeConfiguration(i);
     }
     CheckProcesses();
-    CheckStrayPackets();
   }
+  CheckStrayPackets();
 }
 
 void SoakSite::ProbeReadiness(std::size_t index) {
@@ -509,10 +520,11 @@
         IsBalancer(i) ? kBalancerStallThreshold : kAgentStallThreshold;
     if (IsRunning(i) && IsStable(i) && Now() - each.last_message > bound) {
       ++m_stalls;
-      MarkFaulty(i);
+      MarkStalled(i);
     }
     if (!IsRunning(i) && !each.stop_requested) {
-      AddViolation(each.name + " exited without a stop signal");
+      AddViolation(each.name + " exited without a stop signal, " +
+                   m_processes.DescribeEnd(each.name));
       StartProcess(i);
     }
     if (!IsRunning(i) && each.stop_requested &&
@@ -527,8 +539,30 @@
   m_instances[instance].last_fault = Now();
 }
 
+void SoakSite::MarkStalled(std::size_t instance) {
+  m_instances[instance].last_stall = Now();
+}
+
 bool SoakSite::IsStable(std::size_t instance) const {
-  return Now() - m_instances[instance].last_fault > kStableAfter;
+  const Instance& each = m_instances[instance];
+  return Now() - std::max(each.last_fault, each.last_stall) > kStableAfter;
+}
+
+bool SoakSite::IsInTouch(std::size_t instance) const {
+  return m_size.is_planned_only
+             ? Now() - m_instances[instance].last_fault > kStableAfter
+             : IsStable(instance);
+}
+
+std::string SoakSite::DescribeStalls(
+    const std::vector<std::size_t>& instances) const {
+  std::string stalled;
+  for (const std::size_t instance : instances) {
+    if (Now() - m_instances[instance].last_stall <= kStableAfter) {
+      stalled += (stalled.empty() ? "" : ", ") + m_instances[instance].name;
+    }
+  }
+  return stalled.empty() ? "" : "; stalled recently: " + stalled;
 }
 
 bool SoakSite::HasStoreAccess(std::size_t balancer) const {
@@ -540,7 +574,8 @@
   return Now() - m_store_last_fault > kStableAfter;
 }
 
-SocketAddress SoakSite::Route(const FlowTuple& tuple) const {
+SocketAddress SoakSite::Route(const FlowTuple& tuple,
+                              const FlowPacket& packet) {
   std::vector<std::size_t> rotation;
   for (std::size_t i = 0; i < m_size.balancers; ++i) {
     if (m_instances[i].ready) {
@@ -551,6 +586,7 @@
     rotation.push_back(i);
   }
   const std::size_t chosen = rotation[HashTuple(tuple) % rotation.size()];
+  m_stray_packets.OnSent(tuple, packet.sequence, chosen, Now());
   return {m_instances[chosen].process.ipv4, kPacketPort};
 }
 
@@ -559,18 +595,24 @@
     if (!m_upstreams[agent].upstream->HasOpenFlow(tuple)) {
       continue;
     }
+    const std::size_t owner = m_size.balancers + agent;
     for (std::size_t i = 0; i < m_instances.size(); ++i) {
       const bool sent_it = m_instances[i].process.ipv4 == sender.ipv4;
-      if (sent_it && IsStable(i) && IsStable(m_size.balancers + agent)) {
+      if (sent_it && IsInTouch(i) && IsInTouch(owner)) {
         AddViolation(m_instances[i].name + " reset a flow of " +
                      ToString(tuple.caller) + " that the upstream of " +
-                     m_instances[m_size.balancers + agent].name + " holds");
+                     m_instances[owner].name + " holds" +
+                     DescribeStalls({i, owner}));
       }
     }
   }
 }
 
-void SoakSite::OnOpening(std::size_t agent, const FlowTuple& tuple) {
+void SoakSite::OnOpening(std::size_t agent, const FlowPacket& packet) {
+  const FlowTuple tuple{packet.source, packet.destination};
+  if (FindOwner(tuple)) {
+    OnFlowPacket(agent, packet, FindOwner(tuple) == agent);
+  }
   const Upstream& upstream = m_upstreams[agent];
   const std::size_t instance = m_size.balancers + agent;
   bool stable = IsStoreStable() && IsStable(instance);
@@ -590,20 +632,16 @@
   }
 }
 
-void SoakSite::OnFlowPacket(const FlowTuple& tuple, bool holds_flow) {
+void SoakSite::OnFlowPacket(std::size_t agent,
+                            const FlowPacket& packet,
+                            bool holds_flow) {
+  const FlowTuple tuple{packet.source, packet.destination};
   if (holds_flow) {
-    m_stray_packets.erase(tuple);
-    return;
+    m_stray_packets.OnOwnArrival(tuple, Now());
+  } else if (const auto owner = FindOwner(tuple); owner && owner != agent) {
+    m_stray_packets.OnStrayArrival(tuple, packet.sequence,
+                                   m_size.balancers + *owner, Now());
   }
-  if (!FindOwner(tuple)) {
-    return;
-  }
-  StrayPackets& stray = m_stray_packets[tuple];
-  if (stray.count == 0) {
-    stray.first = Now();
-  }
-  stray.count += stray.count == 0 || Now() - stray.last > kCopyTime ? 1 : 0;
-  stray.last = Now();
 }
 
 std::optional<std::size_t> SoakSite::FindOwner(const FlowTuple& tuple) const {
@@ -616,24 +654,13 @@
 }
 
 void SoakSite::CheckStrayPackets() {
-  std::erase_if(m_stray_packets, [this](const auto& item) {
-    const auto& [tuple, stray] = item;
-    if (Now() - stray.first < kStrayTime) {
-      return false;
-    }
-    const std::optional<std::size_t> owner = FindOwner(tuple);
-    bool stable = owner && IsStable(m_size.balancers + *owner);
-    for (std::size_t i = 0; i < m_size.balancers; ++i) {
-      stable = stable && IsStable(i);
-    }
-    if (stable && stray.count > kMaxStrayPackets) {
-      AddViolation(std::to_string(stray.count) + " packets of a flow of " +
-                   ToString(tuple.caller) +
-                   " reached other upstreams and none that of " +
-                   m_instances[m_size.balancers + *owner].name);
-    }
-    return true;
-  });
+  for (const auto& finding : m_stray_packets.TakeFindings(Now())) {
+    AddViolation(std::to_string(finding.stray_packets) +
+                 " packets of a flow of " + ToString(finding.tuple.caller) +
+                 " reached other upstreams within 2 s and none that of " +
+                 m_instances[finding.owner].name +
+                 DescribeStalls({finding.owner}));
+  }
 }
 
 void SoakSite::OnRequestRun(std::size_t agent, const SoakPayload& payload) {
@@ -668,11 +695,15 @@
   return "requests " + std::to_string(counts.requests) + ", answered " +
          std::to_string(counts.answered) + ", failed " +
          std::to_string(counts.failed) + ", stalls of the machine " +
-         std::to_string(m_stalls);
+         std::to_string(m_stalls) + ", packets of open flows at others " +
+         std::to_string(m_stray_packets.stray_packets()) + " (most in 2 s " +
+         std::to_string(m_stray_packets.most_stray_packets()) + ")";
 }
 
 void SoakSite::AddViolation(const std::string& what) {
-  m_violations.push_back(what);
+  m_violations.push_back(
+      QDateTime::currentDateTimeUtc().toString("hh:mm:ss.zzz ").toStdString() +
+      what);
 }
 
 }  // namespace fireflytrestle
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "fakes/fakestore.h"
@@ -17,6 +16,7 @@
 #include "soak/loopbackproxy.h"
 #include "soak/soakcallers.h"
 #include "soak/soakupstream.h"
+#include "soak/straypacketmonitor.h"
 
 namespace fireflytrestle {
 
@@ -30,6 +30,11 @@
     std::size_t feeds = 30;
     bool has_idle_feeds = false;
     int orders_per_second = 40;
+    /// All faults are planned work, during which FLOW holds without exception.
+    bool is_planned_only = false;
+    /// Agents are told when they start for the first time. Earlier versions of
+    /// the programs lack the flag.
+    bool has_first_start_flag = true;
   };
 
   /// A process counts as stable this long after the last fault on it.
@@ -43,10 +48,6 @@
   static constexpr std::chrono::seconds kConfigurationDeadline{3};
   /// An address is used again no earlier than this after its upstream's end.
   static constexpr std::chrono::seconds kReuseAfter{2};
-  /// An open flow whose packets reach other upstreams and not its own must
-  /// reach its own again within this time, or before the third such packet.
-  static constexpr std::chrono::seconds kStrayTime{2};
-  static constexpr int kMaxStrayPackets = 2;
   static constexpr std::size_t kServices = 2;
 
   /// \p network is the second byte of all addresses, so that several soak runs
@@ -78,6 +79,12 @@
   bool IsStopping(std::size_t instance) const {
     return IsRunning(instance) && m_instances[instance].stop_requested;
   }
+  /// Whether the process has sent a message since it started. Earlier, a signal
+  /// may end it before it has installed its handlers.
+  bool HasStarted(std::size_t instance) const {
+    return IsRunning(instance) &&
+           m_instances[instance].last_message > m_instances[instance].started;
+  }
   /// Impairments at the proxy. Each call counts as a fault on the instance.
   LoopbackProxy::Impairment& From(std::size_t instance);
   LoopbackProxy::Impairment& To(std::size_t instance);
@@ -116,9 +123,14 @@
     SocketAddress proxy_address;
     std::string zone;
     TimePoint last_fault{};
+    /// When the machine last failed to run this process or the soak itself in
+    /// time.
+    TimePoint last_stall{};
     /// Last fault of the store for this balancer.
     TimePoint last_store_fault{};
     TimePoint last_message{};
+    /// Last start; the epoch before the first one.
+    TimePoint started{};
     bool stop_requested = false;
     /// Number of SIGTERMs; the second one ends a process at once, with exit
     /// code 1.
@@ -136,14 +148,6 @@
     bool ended = false;
   };
 
-  /// Packets of a flow that reached other upstreams since the last one that
-  /// reached its own.
-  struct StrayPackets {
-    TimePoint first{};
-    TimePoint last{};
-    int count = 0;
-  };
-
   QStringList Arguments(std::size_t instance) const;
   SocketAddress MakeAddress(int block,
                             std::size_t number,
@@ -159,17 +163,25 @@
   std::uint64_t DueConfiguration() const;
   void CheckProcesses();
   void MarkFaulty(std::size_t instance);
+  void MarkStalled(std::size_t instance);
   bool IsStable(std::size_t instance) const;
+  /// Whether FLOW holds for the instance. A stall is no exception under planned
+  /// work.
+  bool IsInTouch(std::size_t instance) const;
+  /// Returns which of the instances had a stall recently, for a violation.
+  std::string DescribeStalls(const std::vector<std::size_t>& instances) const;
   /// Whether the store serves the balancer, and has for kStableAfter.
   bool HasStoreAccess(std::size_t balancer) const;
   /// Whether the store serves balancers, and has for kStableAfter.
   bool IsStoreStable() const;
   void PutUpstreamEntry(std::size_t agent);
   std::string MakeEntry(std::size_t agent) const;
-  SocketAddress Route(const FlowTuple& tuple) const;
+  SocketAddress Route(const FlowTuple& tuple, const FlowPacket& packet);
   void OnReset(const FlowTuple& tuple, const SocketAddress& sender);
-  void OnOpening(std::size_t agent, const FlowTuple& tuple);
-  void OnFlowPacket(const FlowTuple& tuple, bool holds_flow);
+  void OnOpening(std::size_t agent, const FlowPacket& packet);
+  void OnFlowPacket(std::size_t agent,
+                    const FlowPacket& packet,
+                    bool holds_flow);
   /// Returns the agent whose upstream holds the open flow.
   std::optional<std::size_t> FindOwner(const FlowTuple& tuple) const;
   void CheckStrayPackets();
@@ -196,7 +208,7 @@
   std::set<std::size_t> m_store_faults;
   TimePoint m_last_step{};
   TimePoint m_last_probe{};
-  std::unordered_map<FlowTuple, StrayPackets, FlowTupleHash> m_stray_packets;
+  StrayPacketMonitor m_stray_packets;
   std::map<std::uint64_t, std::size_t> m_runs;
   std::uint64_t m_stalls = 0;
   std::vector<std::string> m_violations;
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -69,7 +69,7 @@
   const FlowTuple tuple{packet.source, packet.destination};
   const auto known = m_flows.find(tuple);
   if (packet.IsOpening()) {
-    m_observer.on_opening(tuple);
+    m_observer.on_opening(packet);
     Flow& flow = known != m_flows.end() ? known->second : m_flows[tuple];
     if (flow.sequence == 0) {
       flow.sequence = m_last_sequence += kSequencesPerFlow;
@@ -87,7 +87,7 @@
   const bool has_flow =
       known != m_flows.end() &&
       packet.acknowledgment - known->second.sequence < kSequencesPerFlow;
-  m_observer.on_flow_packet(tuple, has_flow);
+  m_observer.on_flow_packet(packet, has_flow);
   if (!has_flow) {
     FlowPacket back = packet;
     back.bounced = true;
--- a/tests/soak/soakupstream.h
+++ b/tests/soak/soakupstream.h
@@ -24,10 +24,10 @@
 class SoakUpstream {
  public:
   struct Observer {
-    std::function<void(const FlowTuple&)> on_opening;
+    std::function<void(const FlowPacket&)> on_opening;
     /// Called with a packet that is no SYN, and with whether the upstream holds
     /// its flow.
-    std::function<void(const FlowTuple&, bool holds_flow)> on_flow_packet;
+    std::function<void(const FlowPacket&, bool holds_flow)> on_flow_packet;
     std::function<void(const SoakPayload&)> on_run;
   };
 
