--- a/tests/fakes/siteprocesses.cpp
+++ b/tests/fakes/siteprocesses.cpp
@@ -59,6 +59,10 @@
   return ended ? process->second->exitCode() : -1;
 }
 
+qint64 SiteProcesses::ProcessId(const std::string& name) const {
+  return IsRunning(name) ? m_processes.at(name)->processId() : 0;
+}
+
 std::string SiteProcesses::DescribeEnd(const std::string& name) const {
   const auto process = m_processes.find(name);
   if (process == m_processes.end()) {
--- a/tests/fakes/siteprocesses.h
+++ b/tests/fakes/siteprocesses.h
@@ -32,6 +32,9 @@
   /// was ended by a signal or was never started.
   int ExitCode(const std::string& name) const;
 
+  /// Returns the number of the process, or 0 if it is not running.
+  qint64 ProcessId(const std::string& name) const;
+
   /// Returns how a process that is not running ended, for messages.
   std::string DescribeEnd(const std::string& name) const;
 
