--- a/tests/fakes/siteprocesses.cpp
+++ b/tests/fakes/siteprocesses.cpp
@@ -59,6 +59,24 @@
   return ended ? process->second->exitCode() : -1;
 }
 
+qint64 SiteProcesses::ProcessId(const std::string& name) const {
+  return IsRunning(name) ? m_processes.at(name)->processId() : 0;
+}
+
+std::string SiteProcesses::DescribeEnd(const std::string& name) const {
+  const auto process = m_processes.find(name);
+  if (process == m_processes.end()) {
+    return "never started";
+  }
+  if (process->second->error() == QProcess::FailedToStart) {
+    return "failed to start: " + process->second->errorString().toStdString();
+  }
+  // QProcess stores the number of the signal in place of the exit code.
+  return (process->second->exitStatus() == QProcess::CrashExit ? "signal "
+                                                               : "exit code ") +
+         std::to_string(process->second->exitCode());
+}
+
 int SiteProcesses::RunControl(const QStringList& arguments) {
   QProcess process;
   process.setProcessChannelMode(QProcess::MergedChannels);
