--- a/tests/libflow/plannedworktest.cpp
+++ b/tests/libflow/plannedworktest.cpp
@@ -839,6 +839,51 @@
   CHECK(violated == 0);
 }
 
+// Guards against FLOW (b): each of two balancers, between which a flow moves,
+// sends its packets to as many other upstreams as one may.
+TEST_CASE("two balancers together send a flow to few other upstreams") {
+  constexpr std::size_t kBalancers = 2;
+  constexpr std::size_t kRestarted = 5;
+  constexpr std::uint32_t kFlows = 30;
+  FlowSite site(kBalancers, 11, 3, {kBalancers, 4});
+  const StrayPacketLog log(&site);
+  for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
+    REQUIRE(OpenFlow(&site, FlowSite::Tuple(caller)) != nullptr);
+  }
+  std::vector<FlowSite::Agent*> agents;
+  for (std::size_t i = 0; i < kRestarted; ++i) {
+    agents.push_back(site.agents[i].get());
+  }
+  StopAgents(&site, agents);
+  for (std::size_t i = 0; i < kBalancers; ++i) {
+    site.StartBalancer(i);
+  }
+  site.Publish();
+  site.Run(milliseconds(2000));
+  for (const FlowSite::Agent* agent : agents) {
+    site.StartAgent(IndexOf(site, agent));
+  }
+  site.Run(milliseconds(500));
+  for (std::size_t balancer = 0; balancer < kBalancers; ++balancer) {
+    for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
+      if (site.AnswersTo(FlowSite::Tuple(caller)) < 2) {
+        site.SendRequest(balancer, FlowSite::Tuple(caller), 2);
+      }
+    }
+    site.Run(milliseconds(200));
+  }
+  site.Run(StrayPacketLog::kFlowTime);
+  std::size_t violated = 0;
+  for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
+    violated += log.MostStrayPackets(FlowSite::Tuple(caller)) >=
+                        StrayPacketLog::kMinStrayPackets
+                    ? 1
+                    : 0;
+  }
+  CHECK(violated == 0);
+  CHECK(site.resets.empty());
+}
+
 // Guards against FLOW (a): a balancer whose view does not list a new upstream
 // yet resets a flow that another balancer has just placed there.
 TEST_CASE("a flow at an upstream that a balancer's view lacks is not reset") {
