--- a/tests/libflow/plannedworktest.cpp
+++ b/tests/libflow/plannedworktest.cpp
@@ -884,6 +884,53 @@
   CHECK(site.resets.empty());
 }
 
+// Guards against FLOW (b): a search counts packets to other upstreams in spans
+// that begin with the search, and sends as many right before the end of one as
+// after it.
+TEST_CASE("a search that waits for agents reaches few upstreams in any 2 s") {
+  constexpr std::uint32_t kFlows = 30;
+  constexpr std::size_t kRestarted = 5;
+  FlowSite site(1, 11, 3, {1, 4});
+  const StrayPacketLog log(&site);
+  for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
+    REQUIRE(OpenFlow(&site, FlowSite::Tuple(caller)) != nullptr);
+  }
+  std::vector<FlowSite::Agent*> agents;
+  for (std::size_t i = 0; i < kRestarted; ++i) {
+    agents.push_back(site.agents[i].get());
+  }
+  StopAgents(&site, agents);
+  site.StartBalancer(0);
+  site.Publish();
+  site.Run(milliseconds(800));
+  const auto send_requests = [&] {
+    for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
+      if (site.AnswersTo(FlowSite::Tuple(caller)) < 2) {
+        site.SendRequest(0, FlowSite::Tuple(caller), 2);
+      }
+    }
+  };
+  send_requests();
+  site.Run(milliseconds(1200));
+  for (const FlowSite::Agent* agent : agents) {
+    site.StartAgent(IndexOf(site, agent));
+  }
+  site.Run(milliseconds(400));
+  send_requests();
+  site.Run(milliseconds(1600));
+  send_requests();
+  site.Run(StrayPacketLog::kFlowTime);
+  std::size_t violated = 0;
+  for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
+    violated += log.MostStrayPackets(FlowSite::Tuple(caller)) >=
+                        StrayPacketLog::kMinStrayPackets
+                    ? 1
+                    : 0;
+  }
+  CHECK(violated == 0);
+  CHECK(site.resets.empty());
+}
+
 // Guards against FLOW (a): a balancer whose view does not list a new upstream
 // yet resets a flow that another balancer has just placed there.
 TEST_CASE("a flow at an upstream that a balancer's view lacks is not reset") {
