Pass copies of a FIN to an upstream that does not hold the flow only once

Cause: an agent that did not know the flow of a FIN or reset marked it as closing. When the upstream returned the packet, the flow was removed without a record of its absence and without an answer to the balancer, so each retransmission was passed on again.

Change: a flow that its upstream has not confirmed stays unconfirmed at a FIN, so that a returned packet is recorded and answered like any other. The new test fails without the change, with three arrivals, and passes with it. Also: an agent lacks a handover only for the time after its start in which it says so, not as long as its last report is old.

--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "libflow/agentfailuredetector.h"
+#include "libflow/flowknowledge.h"
 #include "libsite/siteview.h"
 
 namespace fireflytrestle {
@@ -118,7 +119,8 @@
 }
 
 bool AgentPeer::LacksHandover(TimePoint now) const {
-  return m_needs_handover && now - m_run_heard >= kHandoverTimeout;
+  return m_needs_handover && now - m_run_heard >= kHandoverTimeout &&
+         now - m_run_heard < FlowKnowledge::kRecoveryTime;
 }
 
 bool AgentPeer::IsReporting() const {
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -369,7 +369,10 @@
            restored ? "restored" : (message.search ? "search" : "assigned"));
   }
   if (packet.fin || packet.reset) {
-    flow.state = State::kClosing;
+    flow.caller_closed = true;
+    if (!IsUnproven(flow)) {
+      flow.state = State::kClosing;
+    }
     EndRequest(&flow);
     m_pending_requests.Erase(tuple);
   } else if (packet.data_bytes > 0) {
@@ -531,7 +534,11 @@
     if (flow.balancer != SocketAddress{}) {
       Report(Kind::kConfirmed, tuple, flow.balancer, "upstream_packet");
     }
-    MarkOpen(tuple, &flow);
+    if (flow.caller_closed) {
+      flow.state = State::kClosing;
+    } else {
+      MarkOpen(tuple, &flow);
+    }
   }
   if (packet->data_bytes > 0 && flow.running) {
     m_pending_requests.OnAnswer(now - flow.delivered);
--- a/src/libflow/upstreamflow.h
+++ b/src/libflow/upstreamflow.h
@@ -33,6 +33,8 @@
   FlowClass flow_class;
   /// The upstream has answered the SYN with \ref upstream_sequence.
   bool answered = false;
+  /// The caller has sent a FIN or a reset.
+  bool caller_closed = false;
   /// A request was sent to the upstream, which has not begun to answer it.
   bool running = false;
   /// When that request was sent to the upstream.
--- a/tests/libflow/agentfailuretest.cpp
+++ b/tests/libflow/agentfailuretest.cpp
@@ -101,8 +101,7 @@
   constexpr std::size_t kAgents = 10;
   FlowSite site(1, kAgents);
   std::size_t reports = 0;
-  site.delay = [&](const SocketAddress&,
-                      const SocketAddress& to) -> Duration {
+  site.delay = [&](const SocketAddress&, const SocketAddress& to) -> Duration {
     if (to != site.balancers[0]->address) {
       return {};
     }
--- a/tests/libflow/straypackettest.cpp
+++ b/tests/libflow/straypackettest.cpp
@@ -298,4 +298,37 @@
   CHECK(log.MostStrayPackets(tuple) < StrayPacketLog::kMinStrayPackets);
 }
 
+// Guards against FLOW (b): copies of a FIN reach an upstream that does not hold
+// the flow again and again. The users' bench reports it on days on which agents
+// are removed as planned.
+TEST_CASE("copies of a FIN reach an upstream without the flow once") {
+  FlowSite site(1, 2);
+  FlowSite::Agent& agent = *site.agents[0];
+  site.StartAgent(0);
+  site.Publish();
+  std::size_t arrivals = 0;
+  site.on_upstream_packet = [&](const FlowSite::Agent&, const FlowPacket&) {
+    ++arrivals;
+  };
+  FlowPacket fin = FlowSite::Packet(FlowSite::Tuple(1));
+  fin.ack = true;
+  fin.acknowledgment = 900'000'000;
+  SUBCASE("FIN") {
+    fin.fin = true;
+  }
+  SUBCASE("reset") {
+    fin.reset = true;
+  }
+  const std::vector<std::uint8_t> bytes = PlainCodec::Encode(fin);
+  for (int copy = 0; copy < 3; ++copy) {
+    agent.tracker->OnNodeMessage(site.balancers[0]->address,
+                                 DeliverMessage{"counter", true, {}, bytes},
+                                 site.clock.Now());
+    site.DeliverAll();
+    site.Run(milliseconds(200));
+  }
+  CHECK(arrivals == 1);
+  CHECK(site.Decisions("flow_unknown handed_back") == 1);
+}
+
 }  // namespace fireflytrestle
