Limit the packets at other upstreams for a whole search

The limit of two packets to upstreams that may not hold a flow started anew 2 s after the last one. The limit now holds for the whole search; its caller gives up within that time.

--- a/src/libflow/flowownertable.h
+++ b/src/libflow/flowownertable.h
@@ -48,10 +48,8 @@
   /// Agents that answered the query without knowing whether their upstreams
   /// hold the flow.
   std::vector<AgentPeerPtr> unsure_agents;
-  /// Of these, the ones that have got the packet lately.
+  /// Of these, the ones that have got a packet of the flow.
   std::vector<AgentPeerPtr> probed_agents;
-  /// When one of them got it last; before that, when the search began.
-  TimePoint last_probe{};
   /// Number of other upstreams that have got packets of the flow through other
   /// balancers.
   std::size_t stray_arrivals = 0;
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -50,7 +50,7 @@
 /// Bytes of a query with the headers of UDP and IP.
 constexpr std::size_t kQueryBytes = 70;
 /// Maximum number of upstreams that do not hold a flow which its packets may
-/// reach within kStrayWindow.
+/// reach during a search.
 constexpr std::size_t kMaxStrayProbes = 2;
 /// Maximum number of agents that one SYN is sent to.
 constexpr std::uint8_t kMaxPlacements = 4;
@@ -262,7 +262,6 @@
       // that got a copy through another balancer.
       entry->state = State::kSearching;
       entry->stage_began = now;
-      entry->last_probe = now;
       entry->pending_agents.push_back(std::exchange(entry->owner, nullptr));
       entry->later_stages = {AgentsWithout(entry->pending_agents)};
       m_staged_searches.push_back(tuple);
@@ -333,7 +332,6 @@
   entry->state = State::kSearching;
   entry->placed = now;
   entry->stage_began = now;
-  entry->last_probe = now;
   HoldPacket(datagram, packet, entry);
   if (m_agents.all().size() >= kMinStagedAgents &&
       m_loss_detector.ShouldDeferSearches(now) && !packet.reset) {
@@ -548,10 +546,6 @@
     return;
   }
   auto& probed = entry->probed_agents;
-  if (now - entry->last_probe >= kStrayWindow) {
-    entry->stray_arrivals = 0;
-    probed.clear();
-  }
   const auto is_probed = [&](const AgentPeerPtr& agent) {
     return std::find(probed.begin(), probed.end(), agent) != probed.end();
   };
@@ -575,7 +569,6 @@
     if (counts) {
       probed.push_back(agent);
     }
-    entry->last_probe = now;
     Report(Kind::kProbed, tuple, agent.get(),
            is_outage ? "outage" : "owner_unknown", now);
     SendSearchPacket(agent, entry);
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -43,11 +43,6 @@
   return flow.state == State::kUnconfirmed || flow.state == State::kRestored;
 }
 
-/// Whether the upstream has returned a packet of the flow a moment ago.
-bool HasReturnedPacket(const UpstreamFlow& flow, TimePoint now) {
-  return flow.returned != TimePoint{} && now - flow.returned < kStrayWindow;
-}
-
 /// Whether no two packets of one flow have these acknowledgment numbers within
 /// its retransmissions: an upstream has at most 16 packets of 1,200 bytes in
 /// flight, and the numbers of two flows differ by more almost always.
@@ -241,9 +236,9 @@
       }
       Report(Kind::kUnknownThere, query.tuple, source, "not_held");
       m_output->SendToNode(
-          source, FlowUnknownMessage{
-                      query.tuple, true,
-                      is_known && HasReturnedPacket(position->second, now)});
+          source,
+          FlowUnknownMessage{query.tuple, true,
+                             is_known && position->second.has_returned});
       return;
     case Holding::kUnsure:
       if (m_phase == AgentPhase::kStopping) {
@@ -324,6 +319,8 @@
   }
   if (added || flow.state == State::kAbsent) {
     flow.state = State::kUnconfirmed;
+    flow.caller_closed = false;
+    flow.has_returned = false;
     flow.flow_class = message.flow_class;
     flow.data_sequence = packet.sequence - 1;
   } else if (flow.state == State::kRestored &&
@@ -572,7 +569,7 @@
 
 void FlowTracker::OnBouncedPacket(const FlowPacket& packet,
                                   std::span<std::uint8_t> datagram,
-                                  TimePoint now) {
+                                  TimePoint /*now*/) {
   const FlowTuple tuple{packet.source, packet.destination};
   const auto position = m_flows.find(tuple);
   if (position == m_flows.end()) {
@@ -595,7 +592,7 @@
     return;
   }
   if (IsUnproven(flow) || flow.state == State::kAbsent) {
-    position->second.returned = now;
+    position->second.has_returned = true;
     MarkAbsent(&position->second);
     SendUnknown(flow.balancer, tuple, "handed_back");
     return;
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -79,15 +79,11 @@
   /// False if the agent does not know the flow, but its upstream may hold it
   /// since before the agent's start. Only in answers to queries.
   bool is_certain = true;
-  /// The upstream has returned a packet of the flow within kStrayWindow. Only
-  /// in answers to queries.
+  /// The upstream has returned a packet of the flow a moment ago. Only in
+  /// answers to queries.
   bool has_returned = false;
 };
 
-/// Packets of an open flow that reach other upstreams within this time are
-/// counted together.
-inline constexpr std::chrono::milliseconds kStrayWindow{2000};
-
 /// Balancer to agent: liveness, and the entry of the agent's upstream in the
 /// balancer's view.
 struct BalancerHeartbeat {
--- a/src/libflow/upstreamflow.h
+++ b/src/libflow/upstreamflow.h
@@ -33,6 +33,8 @@
   FlowClass flow_class;
   /// The upstream has answered the SYN with \ref upstream_sequence.
   bool answered = false;
+  /// The upstream has returned a packet of the flow.
+  bool has_returned = false;
   /// The caller has sent a FIN or a reset.
   bool caller_closed = false;
   /// A request was sent to the upstream, which has not begun to answer it.
@@ -49,8 +51,6 @@
   /// Balancer that forwarded the caller's last packet.
   SocketAddress balancer;
   TimePoint opened{};
-  /// When the upstream returned a packet of the flow.
-  TimePoint returned{};
   TimePoint last_packet{};
 };
 
