--- a/src/libflow/flowdecision.h
+++ b/src/libflow/flowdecision.h
@@ -23,8 +23,7 @@
     /// The owner of a flow is unknown; the agents are asked for it.
     kSearched,
     /// The packet of such a flow was sent to an agent that does not know
-    /// whether
-    /// its upstream holds the flow.
+    /// whether its upstream holds the flow.
     kProbed,
     /// An agent reported that its upstream holds a flow that was searched for.
     kFound,
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -120,6 +120,7 @@
                       const FlowTuple& tuple,
                       const RouteSettings& route,
                       TimePoint now);
+  /// Returns all agents but those in \p excluded.
   std::vector<AgentPeerPtr> AgentsWithout(
       const std::vector<AgentPeerPtr>& excluded) const;
   /// Keeps the packet for the owner that a search finds. A packet with data is
@@ -146,6 +147,7 @@
   /// Whether every agent whose upstream may hold a flow has answered its query
   /// or is lost.
   bool AreAllAgentsPresent(const FlowEntry& entry, TimePoint now) const;
+  /// Whether an answer of the agent need not be waited for.
   bool IsLost(const AgentPeer& agent, TimePoint now) const;
   /// Sends the packet to unsure agents, if no other agent's upstream may hold
   /// the flow and few enough upstreams get it that do not.
