Read the priority of a route, and estimate the work of each class of requests

Cause: the configuration's "priority" was read nowhere, and the queue of an agent had one average of the work over all kinds of request.

A route's priority (0 to 9, 0 the highest, 1 by default) is decoded, reported as a problem if out of range, and sent with each packet of a flow to the agent. A message of the default priority is written as before. WorkEstimator keeps the average of each class; nothing decides by these yet.

--- a/src/libflow/flowclass.h
+++ b/src/libflow/flowclass.h
@@ -2,6 +2,9 @@
 #define FIREFLYTRESTLE_LIBFLOW_FLOWCLASS_H_
 
 #include <chrono>
+#include <cstdint>
+
+#include "libsite/routesettings.h"
 
 namespace fireflytrestle {
 
@@ -15,6 +18,9 @@
   std::chrono::milliseconds latency_objective{0};
   /// Time after which callers abandon a request; 0 if unknown.
   std::chrono::milliseconds timeout{0};
+  /// Decides, when there is too little room, whose requests are served; 0 is
+  /// the highest.
+  std::uint8_t priority = kDefaultPriority;
 
   bool operator==(const FlowClass&) const = default;
 };
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -61,7 +61,7 @@
 
 FlowClass ClassOf(const RouteSettings& route) {
   return {route.idempotent, route.long_lived, route.latency_objective,
-          route.timeout};
+          route.timeout, route.priority};
 }
 
 bool Remove(std::vector<AgentPeerPtr>* agents, const AgentPeerPtr& agent) {
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -542,7 +542,7 @@
     }
   }
   if (packet->data_bytes > 0 && flow.running) {
-    m_pending_requests.OnAnswer(now - flow.delivered);
+    m_pending_requests.OnAnswer(flow.flow_class, now - flow.delivered);
     m_health.OnAnswer();
     m_output->Measure(FlowMeasurement::kAnswer, now - flow.delivered);
     EndRequest(&flow);
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -27,6 +27,8 @@
 };
 
 constexpr std::uint32_t kDeliverFields = 8;
+/// The same for a flow whose route has another priority than the default.
+constexpr std::uint32_t kPriorityDeliverFields = kDeliverFields + 1;
 constexpr std::uint32_t kReturnFields = 3;
 constexpr std::uint32_t kFlowUnknownFields = 5;
 /// The same for an answer that is not certain, or after a returned packet.
@@ -87,7 +89,10 @@
 }
 
 void Write(MsgpackWriter* writer, const DeliverMessage& message) {
-  WriteHead(writer, Kind::kDeliver, kDeliverFields);
+  const std::uint8_t priority = message.flow_class.priority;
+  const bool has_priority = priority != kDefaultPriority;
+  WriteHead(writer, Kind::kDeliver,
+            has_priority ? kPriorityDeliverFields : kDeliverFields);
   WriteName(writer, message.service);
   writer->WriteBool(message.search);
   writer->WriteBool(message.flow_class.idempotent);
@@ -95,6 +100,9 @@
   WriteTime(writer, message.flow_class.latency_objective);
   WriteTime(writer, message.flow_class.timeout);
   writer->WriteBinary(message.packet);
+  if (has_priority) {
+    writer->WriteUint(priority);
+  }
 }
 
 void Write(MsgpackWriter* writer, const ReturnMessage& message) {
@@ -272,6 +280,12 @@
   return message;
 }
 
+DeliverMessage ReadPriorityDeliver(MsgpackReader* reader) {
+  DeliverMessage message = ReadDeliver(reader);
+  reader->Read(&message.flow_class.priority, 0, kMaxPriority);
+  return message;
+}
+
 ReturnMessage ReadReturn(MsgpackReader* reader) {
   ReturnMessage message;
   reader->Read(&message.reason, 1,
@@ -436,6 +450,7 @@
 
 constexpr MessageFormat kMessageFormats[] = {
     {Kind::kDeliver, kDeliverFields, ReadAs<ReadDeliver>},
+    {Kind::kDeliver, kPriorityDeliverFields, ReadAs<ReadPriorityDeliver>},
     {Kind::kReturn, kReturnFields, ReadAs<ReadReturn>},
     {Kind::kFlowUnknown, kFlowUnknownFields, ReadAs<ReadFlowUnknown>},
     {Kind::kFlowUnknown, kFlowUnknownDetailFields,
--- a/src/libflow/pendingrequestqueue.cpp
+++ b/src/libflow/pendingrequestqueue.cpp
@@ -11,13 +11,6 @@
 constexpr std::uint32_t kMaxQueuedAtUpstream = 3;
 /// Maximum share of a caller's time-out that a request may wait.
 constexpr double kMaxWaitShare = 0.6;
-/// Each sample enters the moving average of the work with a weight of 1 /
-/// kWorkSamples.
-constexpr int kWorkSamples = 16;
-/// Samples are limited to this multiple of the average: a longer time to an
-/// answer shows the length of the upstream's queue rather than the work.
-constexpr int kMaxSampleFactor = 5;
-
 enum Priority { kInTimeNonIdempotent, kInTimeIdempotent, kLate };
 
 }  // namespace
@@ -36,7 +29,7 @@
 }
 
 Duration PendingRequestQueue::EstimateWait(std::size_t ahead) const {
-  return m_average_work * static_cast<int>(ahead + m_slots) /
+  return m_work.Average() * static_cast<int>(ahead + m_slots) /
          static_cast<int>(std::max(m_slots, 1U));
 }
 
@@ -56,7 +49,7 @@
                                                    TimePoint now) const {
   const Duration age = now - request.arrived;
   const FlowClass& flow_class = request.flow_class;
-  if (age + m_average_work >= flow_class.latency_objective) {
+  if (age + m_work.Average() >= flow_class.latency_objective) {
     return {kLate, -age};
   }
   // Requests are released in order of arrival while all can be answered in
@@ -86,7 +79,7 @@
     TimePoint now) {
   std::vector<Request> expired;
   for (auto each = m_waiting.begin(); each != m_waiting.end();) {
-    if (now - each->arrived + m_average_work < each->flow_class.timeout) {
+    if (now - each->arrived + m_work.Average() < each->flow_class.timeout) {
       ++each;
       continue;
     }
@@ -96,9 +89,4 @@
   return expired;
 }
 
-void PendingRequestQueue::OnAnswer(Duration time) {
-  const Duration sample = std::min(time, m_average_work * kMaxSampleFactor);
-  m_average_work += (sample - m_average_work) / kWorkSamples;
-}
-
 }  // namespace fireflytrestle
--- a/src/libflow/pendingrequestqueue.h
+++ b/src/libflow/pendingrequestqueue.h
@@ -10,6 +10,7 @@
 #include "libbase/clock.h"
 #include "libflow/flowclass.h"
 #include "libflow/flowtuple.h"
+#include "libflow/workestimator.h"
 
 namespace fireflytrestle {
 
@@ -67,7 +68,9 @@
   std::vector<Request> TakeExpired(TimePoint now);
 
   /// Records the time from the delivery of a request to its answer.
-  void OnAnswer(Duration time);
+  void OnAnswer(const FlowClass& flow_class, Duration time) {
+    m_work.OnAnswer(flow_class, time);
+  }
 
   std::size_t size() const { return m_waiting.size(); }
 
@@ -81,8 +84,7 @@
   Duration EstimateWait(std::size_t ahead) const;
 
   std::uint32_t m_slots = 0;
-  /// Moving average of the upstream's time for one request.
-  Duration m_average_work = std::chrono::milliseconds(20);
+  WorkEstimator m_work;
   std::list<Request> m_waiting;
 };
 
--- a/src/libsite/routesettings.h
+++ b/src/libsite/routesettings.h
@@ -10,6 +10,11 @@
 
 namespace fireflytrestle {
 
+/// Priorities of routes: 0 is the highest.
+inline constexpr std::uint8_t kMaxPriority = 9;
+/// Priority of a route that names none.
+inline constexpr std::uint8_t kDefaultPriority = 1;
+
 struct WeightedService {
   std::string service;
   /// Share of the new flows; a service of weight 0 gets none.
@@ -30,6 +35,9 @@
   std::chrono::milliseconds latency_objective{0};
   /// Time after which callers no longer wait for an answer.
   std::chrono::milliseconds timeout{0};
+  /// Decides, when there is too little room, whose requests are served; 0 is
+  /// the highest.
+  std::uint8_t priority = kDefaultPriority;
   std::vector<WeightedService> services;
 
   bool operator==(const RouteSettings&) const = default;
--- a/tests/libflow/nodemessagecodectest.cpp
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -41,7 +41,7 @@
   DeliverMessage message;
   message.service = "counter";
   message.search = true;
-  message.flow_class = {true, false, milliseconds(120), milliseconds(800)};
+  message.flow_class = {true, false, milliseconds(120), milliseconds(800), 2};
   message.packet = packet;
   const std::vector<std::uint8_t> bytes = Encode(message);
   const auto decoded = DecodeNodeMessage(bytes);
--- a/tests/platform/platformrecorddecodertest.cpp
+++ b/tests/platform/platformrecorddecodertest.cpp
@@ -72,6 +72,8 @@
   CHECK_FALSE(order.long_lived);
   CHECK(order.timeout == milliseconds(1000));
   CHECK(order.latency_objective == milliseconds(150));
+  CHECK(order.priority == 1);
+  CHECK(configuration->routes[1].priority == kDefaultPriority);
   CHECK(order.services == std::vector<WeightedService>{{"huvo11a", 1}});
   CHECK(configuration->routes[1].idempotent);
   CHECK(configuration->routes[1].services.size() == 2);
@@ -79,6 +81,20 @@
   CHECK(configuration->flow_idle_timeout == milliseconds(15000));
 }
 
+TEST_CASE("a priority out of range is reported and takes its default") {
+  for (const char* priority : {"10", "-1", "\"high\"", "null"}) {
+    std::string changed = kConfiguration;
+    changed.replace(changed.find("\"priority\":1") + 11, 1, priority);
+    const SiteRecord record = Decode("op/config", changed);
+    const auto* configuration = std::get_if<SiteConfiguration>(&record);
+    REQUIRE(configuration != nullptr);
+    CHECK(configuration->routes.at(0).priority == kDefaultPriority);
+    REQUIRE(configuration->problems.size() == 1);
+    CHECK(configuration->problems[0].find("198.18.0.1:8080") !=
+          std::string::npos);
+  }
+}
+
 TEST_CASE("a service of weight 0 belongs to the route") {
   std::string changed = kConfiguration;
   changed.replace(changed.find("90"), 2, "0");
