Let agents know that an upstream started after them holds no earlier flow

Cause: a restarted agent could not tell whether its upstream held flows of before, so that searches ended in packets to all upstreams, which the links of small instances do not carry; the searches beyond the limit were dropped.

Balancers now send agents when their upstream started (the entry's start time, by the clock of the instance that both share). If it started after the agent's run, or too shortly before for an earlier run to have sent it a flow, the agent knows all flows and answers searches with certainty.

--- a/src/flowagent/flowagentprocess.cpp
+++ b/src/flowagent/flowagentprocess.cpp
@@ -20,10 +20,12 @@
 }  // namespace
 
 FlowAgentProcess::FlowAgentProcess(const FlowAgentSettings& settings,
+                                   WallTime started,
                                    const PacketCodec& codec,
                                    const Clock& clock,
                                    Logger* logger)
     : m_settings(settings),
+      m_started(started),
       m_codec(codec),
       m_clock(clock),
       m_logger(logger),
@@ -45,6 +47,7 @@
   tracker.zone = m_settings.node.zone;
   tracker.flow_lifetime = m_settings.node.flow_lifetime;
   tracker.is_first_run = m_settings.first_start == "true";
+  tracker.started = m_started;
   for (const SocketAddress& seed : m_settings.seeds) {
     tracker.seeds.push_back({seed.ipv4, m_settings.balancer_port});
   }
--- a/src/flowagent/flowagentprocess.h
+++ b/src/flowagent/flowagentprocess.h
@@ -23,8 +23,10 @@
 /// identifier.
 class FlowAgentProcess {
  public:
-  /// All references must outlive the process.
+  /// \p started is the time of day at which the process started. All
+  /// references must outlive this object.
   FlowAgentProcess(const FlowAgentSettings& settings,
+                   WallTime started,
                    const PacketCodec& codec,
                    const Clock& clock,
                    Logger* logger);
@@ -41,6 +43,7 @@
   std::string State() const;
 
   const FlowAgentSettings& m_settings;
+  WallTime m_started;
   const PacketCodec& m_codec;
   const Clock& m_clock;
   Logger* m_logger;
--- a/src/flowagent/main.cpp
+++ b/src/flowagent/main.cpp
@@ -1,4 +1,5 @@
 #include <QCoreApplication>
+#include <chrono>
 
 #include "flowagent/flowagentprocess.h"
 #include "flowagent/flowagentsettings.h"
@@ -11,6 +12,8 @@
 
 int main(int argc, char** argv) {
   using namespace fireflytrestle;
+  const auto started = std::chrono::time_point_cast<WallTime::duration>(
+      std::chrono::system_clock::now());
   FlowAgentSettings settings;
   const SettingsReader reader("fireflytrestle-flowagent",
                               FIREFLYTRESTLE_VERSION,
@@ -25,7 +28,7 @@
   const QCoreApplication application(argc, argv);
   return RunProgram(&logger, [&]() -> boost::leaf::result<void> {
     const PlatformPacketCodec codec;
-    FlowAgentProcess process(settings, codec, clock, &logger);
+    FlowAgentProcess process(settings, started, codec, clock, &logger);
     BOOST_LEAF_CHECK(process.Start());
     QCoreApplication::exec();
     return {};
--- a/src/libbase/clock.h
+++ b/src/libbase/clock.h
@@ -7,6 +7,9 @@
 
 using TimePoint = std::chrono::steady_clock::time_point;
 using Duration = std::chrono::steady_clock::duration;
+/// Time of day of an instance. Those of two instances differ, and it may be
+/// stepped.
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
 /// \brief Source of monotonic time for adapters. Decision code receives the
 /// time as an argument instead.
--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -56,6 +56,7 @@
   m_slots = std::max<std::uint32_t>(entry->slots, 1);
   m_entry_revision = entry->revision;
   m_cold_until = entry->received_at + entry->cold_left;
+  m_upstream_started = WallTime(milliseconds(entry->started_unix_ms));
   const auto limits = view.services.find(entry->service);
   m_cold_rate_milli =
       limits == view.services.end()
@@ -187,6 +188,7 @@
   heartbeat.cold_left = std::max(
       duration_cast<milliseconds>(m_cold_until - now), milliseconds(0));
   heartbeat.cold_rate_milli = m_cold_rate_milli;
+  heartbeat.upstream_started = m_upstream_started;
   return heartbeat;
 }
 
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -155,6 +155,7 @@
   std::uint32_t m_slots = 1;
   TimePoint m_cold_until{};
   std::uint32_t m_cold_rate_milli = 0;
+  WallTime m_upstream_started{};
 
   int m_unanswered_queries = 0;
   TimePoint m_last_query{};
--- a/src/libflow/flowknowledge.cpp
+++ b/src/libflow/flowknowledge.cpp
@@ -6,11 +6,22 @@
 
 FlowKnowledge::FlowKnowledge(bool is_first_run,
                              std::chrono::milliseconds flow_lifetime,
+                             WallTime started,
                              TimePoint now)
     : m_is_complete(is_first_run),
       m_flow_lifetime(flow_lifetime),
+      m_wall_started(started),
       m_started(now) {}
 
+bool FlowKnowledge::OnUpstreamStarted(WallTime upstream_started) {
+  if (m_is_complete || upstream_started == WallTime{} ||
+      m_wall_started == WallTime{}) {
+    return false;
+  }
+  m_is_complete = upstream_started + kMinPreviousRun > m_wall_started;
+  return m_is_complete;
+}
+
 void FlowKnowledge::OnHandover(const FlowHandover& handover) {
   m_has_handover |= handover.incarnation != Incarnation{};
   if (handover.incarnation != m_incarnation || handover.round > m_round) {
--- a/src/libflow/flowknowledge.h
+++ b/src/libflow/flowknowledge.h
@@ -15,19 +15,33 @@
 /// \brief Whether an agent knows all flows that its upstream holds.
 ///
 /// An agent sees every flow that opens during its own run. Of those from before
-/// it learns from the handover of its previous run.
+/// it learns from the handover of its previous run. There are none if the
+/// upstream has started after the agent's run, or so shortly before that no
+/// earlier run can have sent it a flow.
 class FlowKnowledge {
  public:
   /// An agent without a handover that started a shorter time ago was not
   /// stopped as planned before.
   static constexpr std::chrono::milliseconds kRecoveryTime{3500};
 
+  /// Minimum time from the start of an upstream to that of an agent's run whose
+  /// predecessor has sent it a flow: meanwhile the upstream registers in the
+  /// store, balancers send its entry to the agent, and the process ends and is
+  /// started again.
+  static constexpr std::chrono::milliseconds kMinPreviousRun{250};
+
   /// \p is_first_run: no earlier run of the agent has sent a flow to the
-  /// upstream. Flows live for \p flow_lifetime at most.
+  /// upstream. Flows live for \p flow_lifetime at most. \p started is the time
+  /// of day at which the process started; the epoch if it is not known.
   FlowKnowledge(bool is_first_run,
                 std::chrono::milliseconds flow_lifetime,
+                WallTime started,
                 TimePoint now);
 
+  /// Records when the upstream started, by the clock of the same instance.
+  /// Returns whether that made the knowledge complete.
+  bool OnUpstreamStarted(WallTime upstream_started);
+
   /// Records a part of a handover. The knowledge is complete with the last part
   /// of a complete one.
   void OnHandover(const FlowHandover& handover);
@@ -42,6 +56,7 @@
   bool m_is_complete;
   bool m_has_handover = false;
   std::chrono::milliseconds m_flow_lifetime;
+  WallTime m_wall_started;
   TimePoint m_started;
   /// Parts received of the handover with these numbers.
   Incarnation m_incarnation{};
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -60,7 +60,10 @@
     : m_settings(std::move(settings)),
       m_codec(codec),
       m_output(output),
-      m_knowledge(m_settings.is_first_run, m_settings.flow_lifetime, now),
+      m_knowledge(m_settings.is_first_run,
+                  m_settings.flow_lifetime,
+                  m_settings.started,
+                  now),
       m_reporter(m_settings.seeds, output, now),
       m_cold_start(now),
       m_next_sweep(now + kSweepInterval) {}
@@ -687,6 +690,9 @@
                               heartbeat.cold_rate_milli);
   }
   m_entry_revision = heartbeat.entry_revision;
+  if (m_knowledge.OnUpstreamStarted(heartbeat.upstream_started)) {
+    Report(Kind::kPeerPhase, {}, source, "upstream_started");
+  }
   m_pending_requests.SetSlots(heartbeat.slots);
   m_draining = heartbeat.draining;
 }
--- a/src/libflow/flowtracker.h
+++ b/src/libflow/flowtracker.h
@@ -54,6 +54,8 @@
     std::chrono::milliseconds flow_lifetime{60000};
     /// No earlier run of the agent has sent a flow to the upstream.
     bool is_first_run = false;
+    /// Time of day at which the process started; the epoch if it is not known.
+    WallTime started{};
   };
 
   /// \p codec and \p output must outlive this object.
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "libbase/clock.h"
 #include "libbase/ids.h"
 #include "libbase/socketaddress.h"
 #include "libflow/flowclass.h"
@@ -104,6 +105,9 @@
   /// Balancers that appeared recently, for an agent without an entry in the
   /// store: they cannot find it there.
   std::vector<SocketAddress> new_balancers;
+  /// When the upstream started, by the clock of its instance; the epoch if its
+  /// entry does not say.
+  WallTime upstream_started{};
 };
 
 /// Balancer to agent: how often the balancer wants reports. Until one arrives,
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -37,6 +37,8 @@
 constexpr std::uint32_t kFlowHandoverFields = 8;
 constexpr std::uint32_t kLivenessQueryFields = 1;
 constexpr std::uint32_t kHeartbeatFields = 9;
+/// The same for an upstream whose start time is known.
+constexpr std::uint32_t kStartedHeartbeatFields = kHeartbeatFields + 1;
 constexpr std::uint32_t kStatusFields = 10;
 /// The same for a status with a report interval.
 constexpr std::uint32_t kNumberedStatusFields = 12;
@@ -61,6 +63,8 @@
 constexpr std::uint64_t kMax32 = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t kMax64 = std::numeric_limits<std::uint64_t>::max();
 constexpr std::uint64_t kMaxMs = 24ULL * 3600 * 1000;
+/// The end of the year 9999.
+constexpr std::uint64_t kMaxUnixMs = 253'402'300'799'999;
 constexpr std::uint64_t kMaxHandoverParts = 10'000;
 
 void WriteHead(MsgpackWriter* writer, Kind kind, std::uint32_t fields) {
@@ -173,7 +177,9 @@
 }
 
 void Write(MsgpackWriter* writer, const BalancerHeartbeat& message) {
-  WriteHead(writer, Kind::kBalancerHeartbeat, kHeartbeatFields);
+  const bool has_start = message.upstream_started != WallTime{};
+  WriteHead(writer, Kind::kBalancerHeartbeat,
+            has_start ? kStartedHeartbeatFields : kHeartbeatFields);
   writer->WriteUint(static_cast<std::uint64_t>(message.incarnation));
   writer->WriteUint(static_cast<std::uint64_t>(message.entry_revision));
   writer->WriteBool(message.draining);
@@ -182,6 +188,10 @@
   WriteTime(writer, message.cold_left);
   writer->WriteUint(message.cold_rate_milli);
   WriteAddresses(writer, message.new_balancers);
+  if (has_start) {
+    writer->WriteUint(static_cast<std::uint64_t>(
+        message.upstream_started.time_since_epoch().count()));
+  }
 }
 
 void Write(MsgpackWriter* writer, const ReportedFlow& flow) {
@@ -326,6 +336,13 @@
   return message;
 }
 
+BalancerHeartbeat ReadStartedHeartbeat(MsgpackReader* reader) {
+  BalancerHeartbeat message = ReadHeartbeat(reader);
+  message.upstream_started =
+      WallTime(std::chrono::milliseconds(reader->ReadUint(0, kMaxUnixMs)));
+  return message;
+}
+
 ReportedFlow ReadFlow(MsgpackReader* reader) {
   ReportedFlow flow;
   reader->ReadArrayOf(kFlowFields);
@@ -456,6 +473,8 @@
     {Kind::kFlowUnknown, kFlowUnknownDetailFields,
      ReadAs<ReadFlowUnknownDetail>},
     {Kind::kBalancerHeartbeat, kHeartbeatFields, ReadAs<ReadHeartbeat>},
+    {Kind::kBalancerHeartbeat, kStartedHeartbeatFields,
+     ReadAs<ReadStartedHeartbeat>},
     {Kind::kAgentStatus, kStatusFields, ReadAs<ReadStatus>},
     {Kind::kAgentStatus, kNumberedStatusFields, ReadAs<ReadNumberedStatus>},
     {Kind::kAgentStatus, kStartedStatusFields, ReadAs<ReadStarted<ReadStatus>>},
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -201,12 +201,19 @@
     settings.service = agent.entry.service;
     settings.zone = agent.zone;
     settings.is_first_run = is_first_run;
+    settings.started = WallNow();
     settings.seeds = {{0x0A010001U, kNodePort}};
     agent.tracker = std::make_unique<FlowTracker>(
         settings, codec, agent.output.get(), clock.Now());
     agent.running = true;
   }
 
+  /// Time of day of all instances.
+  WallTime WallNow() const {
+    return std::chrono::time_point_cast<WallTime::duration>(
+        WallTime(std::chrono::hours(1000)) + clock.Now().time_since_epoch());
+  }
+
   /// Installs the current view at all running balancers, as the store would.
   void Publish() {
     view.upstreams.clear();
--- a/tests/libflow/handovertest.cpp
+++ b/tests/libflow/handovertest.cpp
@@ -27,7 +27,7 @@
 
 TEST_CASE("an agent knows all flows after every part of a handover") {
   const TimePoint start{std::chrono::seconds(100)};
-  FlowKnowledge knowledge(false, kFlowLifetime, start);
+  FlowKnowledge knowledge(false, kFlowLifetime, {}, start);
   CHECK_FALSE(knowledge.IsComplete(start));
   CHECK(knowledge.NeedsHandover(start));
   knowledge.OnHandover(Part(1, 0));
@@ -46,7 +46,7 @@
     CHECK(knowledge.IsComplete(start));
   }
   SUBCASE("and not after a late part of an earlier round") {
-    FlowKnowledge later(false, kFlowLifetime, start);
+    FlowKnowledge later(false, kFlowLifetime, {}, start);
     later.OnHandover(Part(2, 0));
     FlowHandover late = Part(1, 0);
     late.parts = 1;
@@ -63,12 +63,40 @@
 
 TEST_CASE("an agent knows all flows after the lifetime of a flow") {
   const TimePoint start{std::chrono::seconds(100)};
-  const FlowKnowledge knowledge(false, kFlowLifetime, start);
+  const FlowKnowledge knowledge(false, kFlowLifetime, {}, start);
   CHECK_FALSE(knowledge.IsComplete(start + kFlowLifetime - milliseconds(1)));
   CHECK(knowledge.IsComplete(start + kFlowLifetime));
   CHECK_FALSE(knowledge.NeedsHandover(start + FlowKnowledge::kRecoveryTime));
 }
 
+// Guards against silence towards callers after a loss of power: agents cannot
+// tell them that their flows are lost.
+TEST_CASE("an agent knows all flows of an upstream that started after it") {
+  const TimePoint start{std::chrono::seconds(100)};
+  const WallTime wall_start{std::chrono::hours(1000)};
+  FlowKnowledge knowledge(false, kFlowLifetime, wall_start, start);
+  SUBCASE("or just before it") {
+    CHECK(knowledge.OnUpstreamStarted(
+        wall_start - FlowKnowledge::kMinPreviousRun + milliseconds(1)));
+    CHECK(knowledge.IsComplete(start));
+    CHECK_FALSE(knowledge.NeedsHandover(start));
+  }
+  SUBCASE("but not of one that an earlier run may have sent flows") {
+    CHECK_FALSE(knowledge.OnUpstreamStarted(wall_start -
+                                            FlowKnowledge::kMinPreviousRun));
+    CHECK_FALSE(knowledge.IsComplete(start));
+  }
+  SUBCASE("but not if the upstream's start is unknown") {
+    CHECK_FALSE(knowledge.OnUpstreamStarted({}));
+    CHECK_FALSE(knowledge.IsComplete(start));
+  }
+  SUBCASE("but not if its own start is unknown") {
+    FlowKnowledge unknown(false, kFlowLifetime, {}, start);
+    CHECK_FALSE(unknown.OnUpstreamStarted(wall_start));
+    CHECK_FALSE(unknown.IsComplete(start));
+  }
+}
+
 // Guards against a reset of open flows (FLOW): a run gets the handover of one
 // that is not the run before it, and takes the flows of that one for absent.
 TEST_CASE("a handover is for the next run only") {
--- a/tests/libflow/nodemessagecodectest.cpp
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -203,11 +203,14 @@
   std::mt19937_64 random(20261204);
   BalancerHeartbeat heartbeat;
   heartbeat.new_balancers = {{1, 2}};
+  BalancerHeartbeat started = heartbeat;
+  started.upstream_started = WallTime(std::chrono::hours(500'000));
   SharedChanges changes;
   changes.items = {{"servers/i-1", "{}", Revision{3}},
                    {"servers/i-2", std::nullopt, Revision{4}}};
   const std::vector<NodeMessage> messages = {
       DeliverMessage{"counter", false, {}, {}},
+      DeliverMessage{"counter", false, {.priority = 0}, {}},
       ReturnMessage{ReturnReason::kUpstreamFull, {}},
       FlowUnknownMessage{},
       FlowUnknownMessage{{}, false},
@@ -215,6 +218,7 @@
       LivenessQuery{},
       FlowHandover{"counter", Incarnation{1}, 2, 0, 1, true, {{}, {}}},
       heartbeat,
+      started,
       Status(2),
       changes,
       ReportRequest{"a-zone", milliseconds(100), "", Revision{}},
--- a/tests/libflow/orphanedflowstest.cpp
+++ b/tests/libflow/orphanedflowstest.cpp
@@ -82,6 +82,32 @@
   }
 }
 
+// Guards against seconds of silence after a loss of power: agents that cannot
+// know the flows of their upstreams pass the packets on to them instead of
+// answering.
+TEST_CASE(
+    "callers learn at their next packet that a loss of power ended flows") {
+  FlowSite site(2, 4);
+  OpenFlows(&site);
+  for (const auto& agent : site.agents) {
+    agent->upstream->Restart();
+    agent->entry.started_unix_ms =
+        static_cast<std::uint64_t>(site.WallNow().time_since_epoch().count());
+    agent->entry.cold_left = milliseconds(2000);
+    site.BumpRevision(agent.get());
+  }
+  RestartProcesses(&site, site.agents.size());
+  site.Run(milliseconds(200));
+  const std::size_t delivered = site.delivered;
+  for (std::uint32_t caller = 1; caller <= kCallers; ++caller) {
+    site.SendRequest(caller % 2, FlowSite::Tuple(caller), 2);
+  }
+  for (std::uint32_t caller = 1; caller <= kCallers; ++caller) {
+    CHECK(site.ResetsOf(FlowSite::Tuple(caller)) == 1);
+  }
+  CHECK(site.delivered == delivered);
+}
+
 TEST_CASE("flows of running upstreams survive a kill of all other processes") {
   FlowSite site(2, 4);
   OpenFlows(&site);
