Let agents know that an upstream which does not run holds no flow

An agent now connects once to its upstream when it starts. A refused connection means that no upstream runs, so that none holds a flow of an earlier run.

--- a/src/flowagent/flowagentprocess.cpp
+++ b/src/flowagent/flowagentprocess.cpp
@@ -56,6 +56,14 @@
         std::move(tracker), m_settings.upstream_address, std::move(node),
         std::move(outbound), m_codec, m_clock, &m_telemetry, &m_gauges);
   });
+  // After a loss of power, an upstream that has not started yet holds no flow,
+  // and neither does one that left before.
+  m_start_check.Start(
+      m_settings.upstream_address, kUpstreamCheckTimeout, [this](bool absent) {
+        if (absent) {
+          m_thread.Post([this] { m_worker->OnUpstreamAbsent(); });
+        }
+      });
   BOOST_LEAF_ASSIGN(
       m_admin, AdminEndpoint::Open(
                    m_settings.node.admin_address,
--- a/src/flowagent/flowagentprocess.h
+++ b/src/flowagent/flowagentprocess.h
@@ -54,6 +54,7 @@
   std::unique_ptr<FlowAgentWorker> m_worker;
   std::unique_ptr<AdminEndpoint> m_admin;
   bool m_stopping = false;
+  ListenerProbe m_start_check;
   ListenerProbe m_upstream_check;
   SignalNotifier m_signals;
 };
--- a/src/flowagent/flowagentworker.cpp
+++ b/src/flowagent/flowagentworker.cpp
@@ -51,6 +51,10 @@
   m_output.Flush();
 }
 
+void FlowAgentWorker::OnUpstreamAbsent() {
+  m_tracker.OnUpstreamAbsent();
+}
+
 void FlowAgentWorker::OnUpstreamDown() {
   m_tracker.OnUpstreamDown(m_clock.Now());
   m_output.Flush();
--- a/src/flowagent/flowagentworker.h
+++ b/src/flowagent/flowagentworker.h
@@ -41,6 +41,7 @@
 
   /// Notifies the balancers that the agent is about to stop.
   void BeginStop();
+  void OnUpstreamAbsent();
   void OnUpstreamDown();
   void OnUpstreamUp();
 
--- a/src/libflow/flowknowledge.h
+++ b/src/libflow/flowknowledge.h
@@ -46,6 +46,9 @@
   /// of a complete one.
   void OnHandover(const FlowHandover& handover);
 
+  /// Records that the upstream does not run, so that it holds no flow.
+  void OnUpstreamAbsent() { m_is_complete = true; }
+
   /// Whether a flow that the agent does not know is not held by the upstream.
   bool IsComplete(TimePoint now) const;
 
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -697,6 +697,11 @@
   m_draining = heartbeat.draining;
 }
 
+void FlowTracker::OnUpstreamAbsent() {
+  m_knowledge.OnUpstreamAbsent();
+  Report(Kind::kPeerPhase, {}, {}, "upstream_absent");
+}
+
 void FlowTracker::OnUpstreamDown(TimePoint now) {
   SetPhase(AgentPhase::kUpstreamDown, now);
   for (const auto& [tuple, flow] : m_flows) {
--- a/src/libflow/flowtracker.h
+++ b/src/libflow/flowtracker.h
@@ -74,6 +74,10 @@
   /// upstream.
   void OnUpstreamPacket(std::span<std::uint8_t> datagram, TimePoint now);
 
+  /// No process listens at the upstream's address yet, or any more: the
+  /// upstream holds no flow of an earlier run of the agent.
+  void OnUpstreamAbsent();
+
   /// The upstream's process has ended, and all its flows are lost.
   void OnUpstreamDown(TimePoint now);
   void OnUpstreamUp(TimePoint now);
--- a/tests/libflow/handovertest.cpp
+++ b/tests/libflow/handovertest.cpp
@@ -86,6 +86,10 @@
                                             FlowKnowledge::kMinPreviousRun));
     CHECK_FALSE(knowledge.IsComplete(start));
   }
+  SUBCASE("or that does not run") {
+    knowledge.OnUpstreamAbsent();
+    CHECK(knowledge.IsComplete(start));
+  }
   SUBCASE("but not if the upstream's start is unknown") {
     CHECK_FALSE(knowledge.OnUpstreamStarted({}));
     CHECK_FALSE(knowledge.IsComplete(start));
