Serve queued requests by what delay costs their callers

The queue of an agent ignored the priority of a route, and its estimate of work was one average over all classes. A request on an open flow that seemed hopeless was passed on past the queue.

A SYN is refused by the place that its request would get, not by the length of the queue. Work is measured from the moment that the upstream begins a request (SlotUsage): with its own queue of three a time to the answer was two and a half times the work. A copy of a request that was given up no longer counts as a new one. CanMeetDeadline() and IsOverloaded() take the running requests and the time, so that their calls in tests change and the checks do not.

--- a/src/flowagent/flowagentprocess.cpp
+++ b/src/flowagent/flowagentprocess.cpp
@@ -112,6 +112,12 @@
   metrics.Gauge("upstream_running",
                 "Requests that the upstream has not begun to answer",
                 static_cast<double>(m_gauges.running));
+  for (std::size_t i = 0; i < m_gauges.waiting.size(); ++i) {
+    metrics.Gauge("requests_waiting",
+                  "Requests that wait for a slot of the upstream",
+                  static_cast<double>(m_gauges.waiting.at(i)),
+                  {{"priority", std::to_string(i)}});
+  }
   metrics.Gauge("agent_phase", "State of agent and upstream; always 1", 1,
                 {{"phase", ToString(m_gauges.phase)}});
   metrics.Counter("node_messages_total", "Messages of balancers received",
--- a/src/flowagent/flowagentworker.cpp
+++ b/src/flowagent/flowagentworker.cpp
@@ -106,6 +106,8 @@
   m_output.Flush();
   m_gauges->flows = m_tracker.flow_count();
   m_gauges->running = m_tracker.running();
+  const auto waiting = m_tracker.WaitingByPriority();
+  std::copy(waiting.begin(), waiting.end(), m_gauges->waiting.begin());
   m_gauges->phase = m_tracker.phase();
   m_gauges->send_failures =
       m_node->send_failures() + m_outbound->send_failures();
--- a/src/flowagent/flowagentworker.h
+++ b/src/flowagent/flowagentworker.h
@@ -3,6 +3,7 @@
 
 #include <QSocketNotifier>
 #include <QTimer>
+#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -26,6 +27,8 @@
     std::atomic<std::uint64_t> node_messages{0};
     std::atomic<std::uint64_t> upstream_packets{0};
     std::atomic<std::uint64_t> send_failures{0};
+    /// Requests that wait for a slot, by priority.
+    std::array<std::atomic<std::uint32_t>, kMaxPriority + 1> waiting{};
     std::atomic<AgentPhase> phase{AgentPhase::kServing};
   };
 
--- a/src/libflow/flowdecision.h
+++ b/src/libflow/flowdecision.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "libflow/flowtuple.h"
@@ -75,6 +76,12 @@
   std::chrono::milliseconds requested_for{0};
   /// Time that the packet was queued.
   std::chrono::milliseconds waited{0};
+  /// Priority of the request that was released or turned away; empty for other
+  /// decisions.
+  std::optional<std::uint8_t> priority;
+  /// The released request is not expected to be answered within its latency
+  /// objective.
+  bool late = false;
   /// Version of the configuration that was in effect.
   std::uint64_t configuration_version = 0;
 };
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -144,8 +144,9 @@
       return;
     }
     if (m_pending_requests.MustWait(m_running) &&
-        m_pending_requests.IsOverloaded(message.flow_class)) {
-      SendReturn(source, ReturnReason::kUpstreamFull, tuple, message.packet);
+        m_pending_requests.IsOverloaded(message.flow_class, m_running, now)) {
+      SendReturn(source, ReturnReason::kUpstreamFull, tuple, message.packet,
+                 message.flow_class.priority);
       return;
     }
     if (!m_health.TryAdmit(now)) {
@@ -325,6 +326,7 @@
     flow.state = State::kUnconfirmed;
     flow.caller_closed = false;
     flow.has_returned = false;
+    flow.expired_sequence.reset();
     flow.flow_class = message.flow_class;
     flow.data_sequence = packet.sequence - 1;
   } else if (flow.state == State::kRestored &&
@@ -397,13 +399,18 @@
     }
     return;
   }
+  if (flow->expired_sequence && !IsAfter(end, *flow->expired_sequence)) {
+    // A late copy of a request that was given up would count as a new one.
+    Report(Kind::kDropped, tuple, flow->balancer, "caller_gave_up");
+    return;
+  }
   // The upstream answers data on a closed flow with a reset, which says nothing
   // about its health.
   const bool begins = flow->state != State::kClosing && !flow->running &&
                       IsAfter(end, flow->data_sequence);
   if (begins && flow->state == State::kOpen &&
       m_pending_requests.MustWait(m_running) &&
-      m_pending_requests.CanMeetDeadline(flow->flow_class)) {
+      m_pending_requests.MayWait(flow->flow_class)) {
     Report(Kind::kHeld, tuple, flow->balancer, "upstream_busy");
     m_pending_requests.Push({tuple,
                              flow->flow_class,
@@ -430,16 +437,19 @@
 void FlowTracker::StartRequest(UpstreamFlow* flow, TimePoint now) {
   flow->running = true;
   flow->delivered = now;
+  flow->request_number = m_slot_usage.Start(m_pending_requests.slots(), now);
   if (++m_running == m_pending_requests.slots()) {
     SendStatusSoon(now);
   }
 }
 
-void FlowTracker::EndRequest(UpstreamFlow* flow) {
-  if (flow->running) {
-    flow->running = false;
-    --m_running;
+Duration FlowTracker::EndRequest(UpstreamFlow* flow) {
+  if (!flow->running) {
+    return {};
   }
+  flow->running = false;
+  --m_running;
+  return m_slot_usage.End(flow->request_number, m_last_activity);
 }
 
 void FlowTracker::EraseFlow(UpstreamFlowTable::iterator position) {
@@ -465,6 +475,8 @@
     decision.reason = "slot_free";
     decision.service = m_settings.service;
     decision.running = m_running;
+    decision.priority = request->flow_class.priority;
+    decision.late = !request->in_time;
     decision.waited =
         std::chrono::duration_cast<milliseconds>(now - request->arrived);
     m_output->Report(decision);
@@ -484,8 +496,9 @@
     if (position == m_flows.end()) {
       continue;
     }
+    position->second.expired_sequence = request.end_sequence;
     Report(Kind::kDropped, request.tuple, position->second.balancer,
-           "caller_gave_up");
+           "caller_gave_up", request.flow_class.priority);
   }
 }
 
@@ -542,10 +555,12 @@
     }
   }
   if (packet->data_bytes > 0 && flow.running) {
-    m_pending_requests.OnAnswer(flow.flow_class, now - flow.delivered);
     m_health.OnAnswer();
     m_output->Measure(FlowMeasurement::kAnswer, now - flow.delivered);
-    EndRequest(&flow);
+    const Duration work = EndRequest(&flow);
+    if (work > Duration{}) {
+      m_pending_requests.OnAnswer(flow.flow_class, work);
+    }
   }
   if (packet->reset) {
     OnUpstreamReset(tuple, flow, now);
@@ -700,6 +715,7 @@
   }
   m_flows.clear();
   m_pending_requests = {};
+  m_slot_usage = {};
   m_health = {};
   m_running = 0;
 }
@@ -831,8 +847,9 @@
 void FlowTracker::SendReturn(const SocketAddress& balancer,
                              ReturnReason reason,
                              const FlowTuple& tuple,
-                             std::span<const std::uint8_t> packet) {
-  Report(Kind::kReturned, tuple, balancer, ToString(reason));
+                             std::span<const std::uint8_t> packet,
+                             std::optional<std::uint8_t> priority) {
+  Report(Kind::kReturned, tuple, balancer, ToString(reason), priority);
   m_output->SendToNode(balancer, ReturnMessage{reason, packet});
 }
 
@@ -846,8 +863,10 @@
 void FlowTracker::Report(FlowDecision::Kind kind,
                          const FlowTuple& tuple,
                          const SocketAddress& peer,
-                         const char* reason) const {
+                         const char* reason,
+                         std::optional<std::uint8_t> priority) const {
   FlowDecision decision;
+  decision.priority = priority;
   decision.kind = kind;
   decision.tuple = tuple;
   decision.peer = peer;
--- a/src/libflow/flowtracker.h
+++ b/src/libflow/flowtracker.h
@@ -1,7 +1,9 @@
 #ifndef FIREFLYTRESTLE_LIBFLOW_FLOWTRACKER_H_
 #define FIREFLYTRESTLE_LIBFLOW_FLOWTRACKER_H_
 
+#include <array>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -12,6 +14,7 @@
 #include "libflow/flowknowledge.h"
 #include "libflow/nodemessage.h"
 #include "libflow/pendingrequestqueue.h"
+#include "libflow/slotusage.h"
 #include "libflow/statusreporter.h"
 #include "libflow/upstreamflow.h"
 #include "libflow/upstreamhealth.h"
@@ -88,6 +91,10 @@
   std::uint32_t running() const { return m_running; }
   /// Requests that wait for a slot of the upstream.
   std::size_t waiting() const { return m_pending_requests.size(); }
+  /// The same for each priority.
+  std::array<std::uint32_t, kMaxPriority + 1> WaitingByPriority() const {
+    return m_pending_requests.CountByPriority();
+  }
   AgentPhase phase() const { return m_phase; }
 
  private:
@@ -129,7 +136,8 @@
   /// has passed.
   void SendStatusSoon(TimePoint now);
   void StartRequest(UpstreamFlow* flow, TimePoint now);
-  void EndRequest(UpstreamFlow* flow);
+  /// Returns for how long the running request occupied a slot of the upstream.
+  Duration EndRequest(UpstreamFlow* flow);
   /// Handles a reset from the upstream. It counts as a failure if a request was
   /// running or the flow was still opening.
   void OnUpstreamReset(const FlowTuple& tuple,
@@ -152,7 +160,8 @@
   void SendReturn(const SocketAddress& balancer,
                   ReturnReason reason,
                   const FlowTuple& tuple,
-                  std::span<const std::uint8_t> packet);
+                  std::span<const std::uint8_t> packet,
+                  std::optional<std::uint8_t> priority = std::nullopt);
   /// Informs the balancer that the upstream does not hold the flow.
   void SendUnknown(const SocketAddress& balancer,
                    const FlowTuple& tuple,
@@ -167,7 +176,8 @@
   void Report(FlowDecision::Kind kind,
               const FlowTuple& tuple,
               const SocketAddress& peer,
-              const char* reason) const;
+              const char* reason,
+              std::optional<std::uint8_t> priority = std::nullopt) const;
   void SetPhase(AgentPhase phase, TimePoint now);
   /// Tells all balancers the phase, and hands the flows over if the agent
   /// stops.
@@ -222,6 +232,7 @@
   bool m_draining = false;
   ColdStartLimiter m_cold_start;
   PendingRequestQueue m_pending_requests;
+  SlotUsage m_slot_usage;
   UpstreamHealth m_health;
   /// Flows with \ref UpstreamFlow::running.
   std::uint32_t m_running = 0;
--- a/src/libflow/pendingrequestqueue.cpp
+++ b/src/libflow/pendingrequestqueue.cpp
@@ -11,7 +11,6 @@
 constexpr std::uint32_t kMaxQueuedAtUpstream = 3;
 /// Maximum share of a caller's time-out that a request may wait.
 constexpr double kMaxWaitShare = 0.6;
-enum Priority { kInTimeNonIdempotent, kInTimeIdempotent, kLate };
 
 }  // namespace
 
@@ -19,18 +18,39 @@
   return m_slots > 0 && running >= m_slots + kMaxQueuedAtUpstream;
 }
 
-bool PendingRequestQueue::CanMeetDeadline(const FlowClass& flow_class) const {
-  if (m_slots == 0 || flow_class.timeout.count() == 0) {
-    return false;
+bool PendingRequestQueue::CanMeetDeadline(const FlowClass& flow_class,
+                                          std::size_t running,
+                                          TimePoint now) const {
+  return MayWait(flow_class) &&
+         ShedPolicy::HasRoomFor(
+             {flow_class, Duration{}, m_work.Expected(flow_class)},
+             DescribeAll(now), CapacityBeside(running), kMaxWaitShare);
+}
+
+ShedPolicy::Request PendingRequestQueue::Describe(const Request& request,
+                                                  TimePoint now) const {
+  return {request.flow_class, now - request.arrived,
+          m_work.Expected(request.flow_class)};
+}
+
+std::vector<ShedPolicy::Request> PendingRequestQueue::DescribeAll(
+    TimePoint now) const {
+  std::vector<ShedPolicy::Request> all;
+  all.reserve(m_waiting.size());
+  for (const Request& request : m_waiting) {
+    all.push_back(Describe(request, now));
   }
-  return EstimateWait(m_waiting.size()) <
-         std::chrono::duration_cast<Duration>(flow_class.timeout *
-                                              kMaxWaitShare);
+  return all;
 }
 
-Duration PendingRequestQueue::EstimateWait(std::size_t ahead) const {
-  return m_work.Average() * static_cast<int>(ahead + m_slots) /
-         static_cast<int>(std::max(m_slots, 1U));
+ShedPolicy::Capacity PendingRequestQueue::CapacityBeside(
+    std::size_t running) const {
+  // A request that finds all slots occupied begins when as many others have
+  // ended as are at the upstream beyond the other slots.
+  const std::uint32_t slots = std::max(m_slots, 1U);
+  const std::size_t ahead = running < slots ? 0 : running + 1 - slots;
+  return {slots,
+          m_work.Average() * static_cast<int>(ahead) / static_cast<int>(slots)};
 }
 
 PendingRequestQueue::Request* PendingRequestQueue::Find(
@@ -45,33 +65,22 @@
   m_waiting.remove_if([&](const Request& each) { return each.tuple == tuple; });
 }
 
-std::pair<int, Duration> PendingRequestQueue::Rank(const Request& request,
-                                                   TimePoint now) const {
-  const Duration age = now - request.arrived;
-  const FlowClass& flow_class = request.flow_class;
-  if (age + m_work.Average() >= flow_class.latency_objective) {
-    return {kLate, -age};
-  }
-  // Requests are released in order of arrival while all can be answered in
-  // time. Once some cannot, that order would make every one late.
-  const bool all_in_time =
-      EstimateWait(m_waiting.size()) < flow_class.latency_objective;
-  return {flow_class.idempotent ? kInTimeIdempotent : kInTimeNonIdempotent,
-          all_in_time ? -age : age};
-}
-
 std::optional<PendingRequestQueue::Request> PendingRequestQueue::TakeNext(
     std::size_t running,
     TimePoint now) {
   if (m_waiting.empty() || MustWait(running)) {
     return std::nullopt;
   }
-  const auto best = std::min_element(m_waiting.begin(), m_waiting.end(),
-                                     [&](const Request& a, const Request& b) {
-                                       return Rank(a, now) < Rank(b, now);
-                                     });
-  std::optional<Request> request = std::move(*best);
-  m_waiting.erase(best);
+  const auto choice =
+      m_policy.Release(DescribeAll(now), CapacityBeside(running));
+  if (!choice) {
+    return std::nullopt;
+  }
+  const auto next =
+      std::next(m_waiting.begin(), static_cast<std::ptrdiff_t>(choice->index));
+  std::optional<Request> request = std::move(*next);
+  request->in_time = choice->in_time;
+  m_waiting.erase(next);
   return request;
 }
 
@@ -79,7 +88,7 @@
     TimePoint now) {
   std::vector<Request> expired;
   for (auto each = m_waiting.begin(); each != m_waiting.end();) {
-    if (now - each->arrived + m_work.Average() < each->flow_class.timeout) {
+    if (ShedPolicy::CanMeetTimeout(Describe(*each, now))) {
       ++each;
       continue;
     }
@@ -89,4 +98,13 @@
   return expired;
 }
 
+std::array<std::uint32_t, kMaxPriority + 1>
+PendingRequestQueue::CountByPriority() const {
+  std::array<std::uint32_t, kMaxPriority + 1> counts{};
+  for (const Request& request : m_waiting) {
+    ++counts.at(std::min(request.flow_class.priority, kMaxPriority));
+  }
+  return counts;
+}
+
 }  // namespace fireflytrestle
--- a/src/libflow/pendingrequestqueue.h
+++ b/src/libflow/pendingrequestqueue.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYTRESTLE_LIBFLOW_PENDINGREQUESTQUEUE_H_
 #define FIREFLYTRESTLE_LIBFLOW_PENDINGREQUESTQUEUE_H_
 
+#include <array>
 #include <cstdint>
 #include <list>
 #include <optional>
@@ -10,6 +11,7 @@
 #include "libbase/clock.h"
 #include "libflow/flowclass.h"
 #include "libflow/flowtuple.h"
+#include "libflow/shedpolicy.h"
 #include "libflow/workestimator.h"
 
 namespace fireflytrestle {
@@ -18,10 +20,8 @@
 /// slot for them.
 ///
 /// An upstream processes its own queue in order of arrival, so that after an
-/// outage every answer is late. This queue first releases the requests that can
-/// still be answered in time, non-idempotent ones before idempotent ones. Under
-/// overload the newest of them go first, since the oldest are about to be late.
-/// Late requests follow, the oldest first, until their time-out.
+/// outage every answer is late. This queue releases its requests in the order
+/// of ShedPolicy instead, until their callers' time-out.
 class PendingRequestQueue {
  public:
   struct Request {
@@ -31,6 +31,9 @@
     /// Sequence number after the last queued byte.
     std::uint32_t end_sequence = 0;
     std::vector<std::vector<std::uint8_t>> packets;
+    /// Whether it is expected to be answered within its latency objective; set
+    /// when it is released.
+    bool in_time = true;
   };
 
   /// Sets the number of slots of the upstream; 0 while it is unknown, when
@@ -43,14 +46,23 @@
   /// upstream.
   bool MustWait(std::size_t running) const;
 
-  /// Whether a further queued request would still be answered in time. One that
-  /// would not is better refused by the upstream at once.
-  bool CanMeetDeadline(const FlowClass& flow_class) const;
+  /// Whether a request may be queued at all: without a known time-out it would
+  /// wait without a limit.
+  bool MayWait(const FlowClass& flow_class) const {
+    return m_slots > 0 && flow_class.timeout.count() > 0;
+  }
+
+  /// Whether a further request beside \p running others would still be answered
+  /// in time, if it yields to the queued requests that cost as much or more.
+  bool CanMeetDeadline(const FlowClass& flow_class,
+                       std::size_t running,
+                       TimePoint now) const;
 
   /// Whether requests of a new flow would wait too long.
-  bool IsOverloaded(const FlowClass& flow_class) const {
-    return m_slots > 0 && flow_class.timeout.count() > 0 &&
-           !CanMeetDeadline(flow_class);
+  bool IsOverloaded(const FlowClass& flow_class,
+                    std::size_t running,
+                    TimePoint now) const {
+    return MayWait(flow_class) && !CanMeetDeadline(flow_class, running, now);
   }
 
   void Push(Request request) { m_waiting.push_back(std::move(request)); }
@@ -67,24 +79,23 @@
   /// their callers' time-out.
   std::vector<Request> TakeExpired(TimePoint now);
 
-  /// Records the time from the delivery of a request to its answer.
+  /// Records for how long an answered request occupied a slot.
   void OnAnswer(const FlowClass& flow_class, Duration time) {
     m_work.OnAnswer(flow_class, time);
   }
 
   std::size_t size() const { return m_waiting.size(); }
+  /// Returns the number of queued requests of each priority.
+  std::array<std::uint32_t, kMaxPriority + 1> CountByPriority() const;
 
  private:
-  /// Returns the sort key of a request; requests with a lower key go to the
-  /// upstream sooner.
-  std::pair<int, Duration> Rank(const Request& request, TimePoint now) const;
-
-  /// Estimates the time until a request with \p ahead others before it is
-  /// answered.
-  Duration EstimateWait(std::size_t ahead) const;
+  ShedPolicy::Request Describe(const Request& request, TimePoint now) const;
+  std::vector<ShedPolicy::Request> DescribeAll(TimePoint now) const;
+  ShedPolicy::Capacity CapacityBeside(std::size_t running) const;
 
   std::uint32_t m_slots = 0;
   WorkEstimator m_work;
+  ShedPolicy m_policy;
   std::list<Request> m_waiting;
 };
 
--- a/src/libflow/upstreamflow.h
+++ b/src/libflow/upstreamflow.h
@@ -2,6 +2,7 @@
 #define FIREFLYTRESTLE_LIBFLOW_UPSTREAMFLOW_H_
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 #include "libbase/clock.h"
@@ -41,11 +42,16 @@
   bool running = false;
   /// When that request was sent to the upstream.
   TimePoint delivered{};
+  /// Number of that request in SlotUsage.
+  std::uint64_t request_number = 0;
   std::uint32_t syn_sequence = 0;
   std::uint32_t upstream_sequence = 0;
   /// Sequence number after the caller's last data byte that was sent to the
   /// upstream.
   std::uint32_t data_sequence = 0;
+  /// Sequence number after the last request that waited until its caller's
+  /// time-out.
+  std::optional<std::uint32_t> expired_sequence;
   /// Last acknowledgment number from the caller.
   std::uint32_t acknowledgment = 0;
   /// Balancer that forwarded the caller's last packet.
--- a/src/libnet/flowtelemetry.cpp
+++ b/src/libnet/flowtelemetry.cpp
@@ -21,6 +21,14 @@
   }
 }
 
+/// Returns what a decision on a request means to its caller.
+const char* OutcomeOf(const FlowDecision& decision) {
+  if (decision.kind != Kind::kReleased) {
+    return "turned_away";
+  }
+  return decision.late ? "released_late" : "released_in_time";
+}
+
 std::string FlowName(const FlowTuple& tuple) {
   return ToString(tuple.caller) + ">" + ToString(tuple.route);
 }
@@ -31,6 +39,9 @@
   {
     const std::scoped_lock lock(m_mutex);
     ++m_counts[{decision.kind, decision.reason}];
+    if (decision.priority) {
+      ++m_requests[{*decision.priority, OutcomeOf(decision)}];
+    }
   }
   const auto age = static_cast<std::uint64_t>(
       std::max<std::int64_t>(decision.report_age.count(), 0));
@@ -70,6 +81,13 @@
         "Time from the delivery of a request to the first data of its answer");
   write(FlowMeasurement::kWait, "request_wait_seconds",
         "Time that requests waited for a slot of the upstream");
+  for (const auto& [key, count] : m_requests) {
+    metrics->Counter(
+        "requests_by_priority_total",
+        "Requests that waited or were refused, by priority and outcome",
+        static_cast<double>(count),
+        {{"priority", std::to_string(key.first)}, {"outcome", key.second}});
+  }
   for (const auto& [key, count] : m_counts) {
     metrics->Counter(
         "flow_decisions_total", "Decisions on flows by kind and reason",
--- a/src/libnet/flowtelemetry.h
+++ b/src/libnet/flowtelemetry.h
@@ -34,6 +34,8 @@
   Logger* m_logger;
   mutable std::mutex m_mutex;
   std::map<std::pair<FlowDecision::Kind, std::string>, std::uint64_t> m_counts;
+  /// By priority and outcome.
+  std::map<std::pair<std::uint8_t, std::string>, std::uint64_t> m_requests;
   std::array<LatencyHistogram, kFlowMeasurements> m_times;
 };
 
--- a/tests/libflow/pendingrequestqueuetest.cpp
+++ b/tests/libflow/pendingrequestqueuetest.cpp
@@ -104,7 +104,7 @@
     "nothing waits while the upstream has room or its slots are unknown") {
   PendingRequestQueue pending;
   CHECK_FALSE(pending.MustWait(100));
-  CHECK_FALSE(pending.IsOverloaded(kIdempotent));
+  CHECK_FALSE(pending.IsOverloaded(kIdempotent, 100, {}));
   pending.SetSlots(3);
   CHECK_FALSE(pending.MustWait(3));
   CHECK(pending.MustWait(100));
@@ -145,11 +145,11 @@
   PendingRequestQueue pending;
   pending.SetSlots(2);
   std::uint32_t caller = 0;
-  while (pending.CanMeetDeadline(kIdempotent)) {
+  while (pending.CanMeetDeadline(kIdempotent, 0, clock.Now())) {
     pending.Push(Request(++caller, kIdempotent, clock.Now()));
     REQUIRE(caller < 1000);
   }
-  CHECK(pending.IsOverloaded(kIdempotent));
+  CHECK(pending.IsOverloaded(kIdempotent, 0, clock.Now()));
   // Waiting may take 0.6 of 800 ms, with two slots and 20 ms for each request.
   CHECK(caller >= 40);
   CHECK(caller <= 50);
