Let requests of an overloaded class hold up nothing that is as dear

The oldest requests of an overloaded class that are still in the schedule have no slack left, so that urgent requests waited for them, although the newest of the class goes in their place and they become late in any case.

--- a/src/libflow/shedpolicy.cpp
+++ b/src/libflow/shedpolicy.cpp
@@ -127,62 +127,76 @@
   return schedule;
 }
 
+/// Returns the classes of which some requests could meet their deadlines alone
+/// and are not in the schedule.
+std::vector<FlowClass> OverloadedClasses(const Schedule& schedule,
+                                         std::span<const Request> requests,
+                                         Goal goal) {
+  std::vector<bool> scheduled(requests.size(), false);
+  for (const Entry& entry : schedule) {
+    scheduled[entry.index] = true;
+  }
+  std::vector<FlowClass> overloaded;
+  for (std::size_t i = 0; i < requests.size(); ++i) {
+    const Request& request = requests[i];
+    if (!scheduled[i] && request.work <= DeadlineOf(request, goal, 1.0) &&
+        std::ranges::find(overloaded, request.flow_class) == overloaded.end()) {
+      overloaded.push_back(request.flow_class);
+    }
+  }
+  return overloaded;
+}
+
 /// Returns the request of a schedule that is served first: that of the highest
 /// priority, non-idempotent before idempotent, that can go first without making
 /// another one miss its deadline. This leaves the dearest the most time if the
-/// work takes longer than expected.
+/// work takes longer than expected. The oldest requests of an overloaded class
+/// that are still in the schedule are about to miss their deadlines, too: its
+/// newest one goes in their place, and they hold up nothing that is as dear.
 std::size_t FirstOf(const Schedule& schedule,
                     std::span<const Request> requests,
-                    const Capacity& capacity) {
+                    const Capacity& capacity,
+                    Goal goal) {
+  const std::vector<FlowClass> overloaded =
+      OverloadedClasses(schedule, requests, goal);
+  const auto is_overloaded = [&](const FlowClass& flow_class) {
+    return std::ranges::find(overloaded, flow_class) != overloaded.end();
+  };
   const auto rank = [&](const Entry& entry) {
     const FlowClass& flow_class = requests[entry.index].flow_class;
     return std::tuple(flow_class.priority, flow_class.idempotent);
   };
-  const Entry* first = &schedule.front();
-  Duration slack = Duration::max();
-  for (const Entry& entry : schedule) {
-    const Duration added =
-        requests[entry.index].work / static_cast<int>(capacity.slots);
-    if (added <= slack && rank(entry) < rank(*first)) {
-      first = &entry;
-    }
-    slack = std::min(slack, entry.deadline - entry.finish);
-  }
-  return first->index;
-}
-
-/// Returns the request of the class of \p first that is served in its place. If
-/// some of the class cannot make their deadlines, the oldest that can are
-/// about to miss them, too, so that the newest goes first.
-std::size_t NewestIfOverloaded(std::size_t first,
-                               const Schedule& schedule,
-                               std::span<const Request> requests,
-                               Goal goal) {
-  const FlowClass& flow_class = requests[first].flow_class;
-  const auto is_of_class = [&](std::size_t index) {
-    return requests[index].flow_class == flow_class;
+  const auto can_go_before = [&](const Entry& entry, const Entry& other) {
+    const Request& request = requests[entry.index];
+    const Request& overtaken = requests[other.index];
+    return other.finish + request.work / static_cast<int>(capacity.slots) <=
+               other.deadline ||
+           (is_overloaded(overtaken.flow_class) &&
+            CostOf(overtaken) <= CostOf(request));
   };
-  std::size_t waiting = 0;
-  for (const Request& request : requests) {
-    waiting += request.flow_class == flow_class &&
-                       request.work <= DeadlineOf(request, goal, 1.0)
-                   ? 1
-                   : 0;
+  std::size_t first = 0;
+  for (std::size_t i = 1; i < schedule.size(); ++i) {
+    if (rank(schedule[i]) < rank(schedule[first]) &&
+        std::all_of(schedule.begin(),
+                    schedule.begin() + static_cast<std::ptrdiff_t>(i),
+                    [&](const Entry& other) {
+                      return can_go_before(schedule[i], other);
+                    })) {
+      first = i;
+    }
   }
-  const auto scheduled = static_cast<std::size_t>(
-      std::count_if(schedule.begin(), schedule.end(),
-                    [&](const Entry& e) { return is_of_class(e.index); }));
-  if (scheduled >= waiting) {
-    return first;
+  std::size_t index = schedule[first].index;
+  const FlowClass& flow_class = requests[index].flow_class;
+  if (!is_overloaded(flow_class)) {
+    return index;
   }
-  std::size_t newest = first;
   for (const Entry& entry : schedule) {
-    if (is_of_class(entry.index) &&
-        requests[entry.index].age <= requests[newest].age) {
-      newest = entry.index;
+    if (requests[entry.index].flow_class == flow_class &&
+        requests[entry.index].age <= requests[index].age) {
+      index = entry.index;
     }
   }
-  return newest;
+  return index;
 }
 
 }  // namespace
@@ -196,8 +210,7 @@
     const Schedule schedule =
         MakeSchedule(requests, capacity, goal, Ties::kNewestFirst);
     if (!schedule.empty()) {
-      const std::size_t first = FirstOf(schedule, requests, capacity);
-      return Choice{NewestIfOverloaded(first, schedule, requests, goal),
+      return Choice{FirstOf(schedule, requests, capacity, goal),
                     goal == Goal::kObjective, false};
     }
   }
