Measure the work of a request without its wait at the upstream

An answer in the same batch as the one before it has occupied its slot for no time that the agent saw. Leaving it out made the mean too long. Adds tests of the estimate and, with balancer and agent, of an urgent request and of a late copy.

--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -443,9 +443,9 @@
   }
 }
 
-Duration FlowTracker::EndRequest(UpstreamFlow* flow) {
+std::optional<Duration> FlowTracker::EndRequest(UpstreamFlow* flow) {
   if (!flow->running) {
-    return {};
+    return std::nullopt;
   }
   flow->running = false;
   --m_running;
@@ -557,9 +557,8 @@
   if (packet->data_bytes > 0 && flow.running) {
     m_health.OnAnswer();
     m_output->Measure(FlowMeasurement::kAnswer, now - flow.delivered);
-    const Duration work = EndRequest(&flow);
-    if (work > Duration{}) {
-      m_pending_requests.OnAnswer(flow.flow_class, work);
+    if (const auto work = EndRequest(&flow)) {
+      m_pending_requests.OnAnswer(flow.flow_class, *work);
     }
   }
   if (packet->reset) {
--- a/src/libflow/flowtracker.h
+++ b/src/libflow/flowtracker.h
@@ -137,7 +137,7 @@
   void SendStatusSoon(TimePoint now);
   void StartRequest(UpstreamFlow* flow, TimePoint now);
   /// Returns for how long the running request occupied a slot of the upstream.
-  Duration EndRequest(UpstreamFlow* flow);
+  std::optional<Duration> EndRequest(UpstreamFlow* flow);
   /// Handles a reset from the upstream. It counts as a failure if a request was
   /// running or the flow was still opening.
   void OnUpstreamReset(const FlowTuple& tuple,
--- a/src/libflow/slotusage.cpp
+++ b/src/libflow/slotusage.cpp
@@ -16,17 +16,17 @@
   return m_last_number;
 }
 
-Duration SlotUsage::End(std::uint64_t number, TimePoint now) {
+std::optional<Duration> SlotUsage::End(std::uint64_t number, TimePoint now) {
   const auto position =
       std::find_if(m_running.begin(), m_running.end(),
                    [&](const Running& each) { return each.number == number; });
   if (position == m_running.end()) {
-    return {};
+    return std::nullopt;
   }
   const std::optional<TimePoint> began = position->began;
   m_running.erase(position);
   if (!began) {
-    return {};
+    return std::nullopt;
   }
   const auto next =
       std::find_if(m_running.begin(), m_running.end(),
--- a/src/libflow/slotusage.h
+++ b/src/libflow/slotusage.h
@@ -22,10 +22,10 @@
   /// unknown: it begins every request at once). Returns the request's number.
   std::uint64_t Start(std::uint32_t slots, TimePoint now);
 
-  /// Records that the request occupies no slot any more. The upstream begins
-  /// the next one. Returns for how long the slot was occupied; 0 if the
-  /// upstream had not begun the request, as far as the agent knows.
-  Duration End(std::uint64_t number, TimePoint now);
+  /// Records that the request occupies no slot any more, so that the upstream
+  /// begins the next one. Returns for how long it has occupied one; nullopt if
+  /// the upstream had not begun it, as far as the agent knows.
+  std::optional<Duration> End(std::uint64_t number, TimePoint now);
 
  private:
   struct Running {
--- /dev/null
+++ b/tests/libflow/sheddingtest.cpp
@@ -0,0 +1,64 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "flowsite.h"
+
+namespace fireflytrestle {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("an urgent request overtakes those that wait at the agent") {
+  // Guards against an urgent request that waits behind a queue: 20 requests of
+  // low priority wait for two slots when an order arrives. Two run and three
+  // are queued at the upstream, which keeps their order.
+  FlowSite site(1, 1, 2);
+  site.view.routes.at(FlowSite::kRoute).priority = 5;
+  site.view.routes.at(FlowSite::kNonIdempotentRoute).priority = 0;
+  ++site.view.configuration_version;
+  site.Publish();
+  const FlowTuple order = FlowSite::Tuple(21, FlowSite::kNonIdempotentRoute);
+  for (std::uint32_t caller = 1; caller <= 20; ++caller) {
+    site.SendSyn(0, FlowSite::Tuple(caller));
+  }
+  site.SendSyn(0, order);
+  for (std::uint32_t caller = 1; caller <= 20; ++caller) {
+    site.SendRequest(0, FlowSite::Tuple(caller));
+  }
+  site.SendRequest(0, order);
+  site.Run(milliseconds(700));
+  const auto& started = site.agents[0]->upstream->started;
+  REQUIRE(started.size() == 21);
+  CHECK(started[5].source == order.caller);
+  CHECK(site.resets.empty());
+}
+
+TEST_CASE("a request that waited until its time-out never runs") {
+  // Guards against a late copy of a request that was given up: it would count
+  // as a new one and take a slot, although nobody waits for its answer.
+  FlowSite site(1, 1, 1);
+  site.agents[0]->upstream->work = std::chrono::seconds(10);
+  const FlowTuple last = FlowSite::Tuple(5);
+  std::size_t delivered = 0;
+  site.on_upstream_packet = [&](const auto& /*agent*/,
+                                const FlowPacket& packet) {
+    delivered += packet.source == last.caller && packet.data_bytes > 0 ? 1 : 0;
+  };
+  for (std::uint32_t caller = 1; caller <= 5; ++caller) {
+    site.SendSyn(0, FlowSite::Tuple(caller));
+  }
+  for (std::uint32_t caller = 1; caller <= 5; ++caller) {
+    site.SendRequest(0, FlowSite::Tuple(caller));
+  }
+  site.Run(milliseconds(900));
+  CHECK(site.Decisions("packet_dropped caller_gave_up") == 1);
+  site.SendRequest(0, last);
+  site.Run(milliseconds(3000));
+  CHECK(site.Decisions("packet_dropped caller_gave_up") == 2);
+  CHECK(delivered == 0);
+  // The next request of the flow is a new one.
+  site.SendRequest(0, last, 2);
+  CHECK(delivered == 1);
+}
+
+}  // namespace fireflytrestle
--- a/tests/libflow/shedpolicytest.cpp
+++ b/tests/libflow/shedpolicytest.cpp
@@ -154,8 +154,9 @@
         return false;
       }
       --m_sent;
-      m_pending.OnAnswer(sent.arrival.flow_class,
-                         m_slot_usage.End(sent.number, now));
+      if (const auto work = m_slot_usage.End(sent.number, now)) {
+        m_pending.OnAnswer(sent.arrival.flow_class, *work);
+      }
       return true;
     });
     for (const auto& expired : m_pending.TakeExpired(now)) {
@@ -399,6 +400,19 @@
   }
 }
 
+TEST_CASE("a request that waits in the upstream's queue occupies no slot") {
+  // Guards against estimates of work that grow with the upstream's own queue.
+  SlotUsage usage;
+  ManualClock clock;
+  const auto first = usage.Start(1, clock.Now());
+  const auto second = usage.Start(1, clock.Now());
+  clock.Advance(milliseconds(20));
+  CHECK(usage.End(first, clock.Now()) == milliseconds(20));
+  clock.Advance(milliseconds(30));
+  CHECK(usage.End(second, clock.Now()) == milliseconds(30));
+  CHECK_FALSE(usage.End(second, clock.Now()));
+}
+
 TEST_CASE("no class starves beside dearer ones") {
   // Guards against a class that is never served while dearer requests keep all
   // slots busy.
