--- a/tests/libflow/sheddingtest.cpp
+++ b/tests/libflow/sheddingtest.cpp
@@ -37,7 +37,7 @@
   // Guards against a late copy of a request that was given up: it would count
   // as a new one and take a slot, although nobody waits for its answer.
   FlowSite site(1, 1, 1);
-  site.agents[0]->upstream->work = std::chrono::seconds(10);
+  site.agents[0]->upstream->work = milliseconds(1200);
   const FlowTuple last = FlowSite::Tuple(5);
   std::size_t delivered = 0;
   site.on_upstream_packet = [&](const auto& /*agent*/,
