Report all faults of an operators' configuration with their places

The decoder ended at a missing version or list, and replaced numbers out of range, backends without a service and repeated services without a word, so that operators learned of one fault at a time or not at all.

SiteConfiguration::problems are now faults with place and remedy. The values in effect and the texts of the existing log events are unchanged; a configuration with the newly reported faults causes more store events of the kind unreadable. Descriptions end after 100, because an item of one megabyte could otherwise yield 500,000 of them.

--- a/src/libbase/fault.h
+++ b/src/libbase/fault.h
@@ -11,6 +11,8 @@
   std::string source;
   std::string problem;
   std::string remedy;
+
+  bool operator==(const Fault&) const = default;
 };
 
 }  // namespace fireflytrestle
--- a/src/libsite/recorddecoder.h
+++ b/src/libsite/recorddecoder.h
@@ -15,7 +15,8 @@
   virtual ~RecordDecoder() = default;
 
   /// Decodes the item with key \p key and value \p value. Fails with
-  /// ErrorCode::kInvalidConfiguration and a Fault if the item is malformed.
+  /// ErrorCode::kInvalidConfiguration and a Fault if the item is malformed; a
+  /// std::vector<Fault> may list all faults.
   virtual boost::leaf::result<SiteRecord> Decode(
       const std::string& key,
       std::string_view value) const = 0;
--- a/src/libsite/siterecord.h
+++ b/src/libsite/siterecord.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "libbase/fault.h"
 #include "libsite/routesettings.h"
 #include "libsite/servicelimits.h"
 #include "libsite/upstreamentry.h"
@@ -20,8 +21,9 @@
   std::vector<RouteSettings> routes;
   std::map<std::string, ServiceLimits> services;
   std::chrono::milliseconds flow_idle_timeout{0};
-  /// One text for each route or service that was malformed and left out.
-  std::vector<std::string> problems;
+  /// One fault for each part that was malformed and left out, or replaced by
+  /// its default.
+  std::vector<Fault> problems;
 
   bool operator==(const SiteConfiguration&) const = default;
 };
--- a/src/libsite/sitestate.cpp
+++ b/src/libsite/sitestate.cpp
@@ -124,8 +124,8 @@
                   std::to_string(configuration->version), revision});
       return false;
     }
-    for (const std::string& problem : configuration->problems) {
-      m_listener({Kind::kUnreadable, key, problem, revision});
+    for (const Fault& fault : configuration->problems) {
+      m_listener({Kind::kUnreadable, key, fault.problem, revision});
     }
     Install(std::move(*configuration), now);
     m_listener({Kind::kConfiguration, std::to_string(m_configuration.version),
--- a/tests/platform/platformrecorddecodertest.cpp
+++ b/tests/platform/platformrecorddecodertest.cpp
@@ -90,11 +90,60 @@
     REQUIRE(configuration != nullptr);
     CHECK(configuration->routes.at(0).priority == kDefaultPriority);
     REQUIRE(configuration->problems.size() == 1);
-    CHECK(configuration->problems[0].find("198.18.0.1:8080") !=
+    CHECK(configuration->problems[0].problem.find("198.18.0.1:8080") !=
           std::string::npos);
   }
 }
 
+TEST_CASE("a number out of range is reported and takes its default") {
+  // Guards against a limit that counts as missing without a report.
+  const std::vector<std::pair<std::string, std::string>> cases{
+      {"\"timeout_ms\":1000", "\"timeout_ms\":-1"},
+      {"\"slo_ms\":150", "\"slo_ms\":\"150\""},
+      {"\"weight\":90", "\"weight\":1000001"},
+      {"\"max_conns\":2000", "\"max_conns\":null"},
+      {"\"cold_s\":2.0", "\"cold_s\":-2"},
+      {"\"cold_per_s\":12.5", "\"cold_per_s\":\"fast\""},
+      {"15000", "86400001"}};
+  for (const auto& [from, to] : cases) {
+    CAPTURE(to);
+    std::string changed = kConfiguration;
+    changed.replace(changed.find(from), from.size(), to);
+    const SiteRecord record = Decode("op/config", changed);
+    const auto* configuration = std::get_if<SiteConfiguration>(&record);
+    REQUIRE(configuration != nullptr);
+    CHECK(configuration->problems.size() == 1);
+  }
+}
+
+TEST_CASE("a service with the name of an earlier one is reported") {
+  // Guards against limits that are published and never used.
+  std::string changed = kConfiguration;
+  const std::string services = "\"services\":[";
+  changed.replace(changed.find(services), services.size(),
+                  services + R"({"name":"huvo11a","max_conns":5},)");
+  const SiteRecord record = Decode("op/config", changed);
+  const auto* configuration = std::get_if<SiteConfiguration>(&record);
+  REQUIRE(configuration != nullptr);
+  CHECK(configuration->services.at("huvo11a").max_flows == 5);
+  REQUIRE(configuration->problems.size() == 1);
+  CHECK(configuration->problems[0].source == "services[1]");
+}
+
+TEST_CASE("the problems of a configuration are limited in number") {
+  // Guards against a malformed item whose reports exhaust the memory of a
+  // balancer.
+  std::string routes = "7";
+  for (int i = 0; i < 400'000; ++i) {
+    routes += ",7";
+  }
+  const SiteRecord record = Decode(
+      "op/config", R"({"version":7,"services":[],"routes":[)" + routes + "]}");
+  const auto* configuration = std::get_if<SiteConfiguration>(&record);
+  REQUIRE(configuration != nullptr);
+  CHECK(configuration->problems.size() == 101);
+}
+
 TEST_CASE("a service of weight 0 belongs to the route") {
   std::string changed = kConfiguration;
   changed.replace(changed.find("90"), 2, "0");
