--- a/src/libconfig/configurationcodec.cpp
+++ b/src/libconfig/configurationcodec.cpp
@@ -500,6 +500,12 @@
   return text;
 }
 
+bool IsDocument(std::string_view text) {
+  const Json json = ParseLimited(text);
+  return json.is_object() &&
+         (json.contains("digest") || json.contains("entries"));
+}
+
 boost::leaf::result<VersionedDocument> ReadDocument(std::string_view text) {
   const auto fail = [](std::string problem) {
     return MakeError(ErrorCode::kInvalidConfiguration,
--- a/src/libconfig/configurationcodec.h
+++ b/src/libconfig/configurationcodec.h
@@ -50,6 +50,10 @@
 /// "digest" and "entries".
 std::string WriteDocument(const VersionedDocument& document);
 
+/// Returns whether \p text is meant as the published form of a document: a JSON
+/// object with "digest" or "entries". It may still be invalid.
+bool IsDocument(std::string_view text);
+
 /// Decodes the published form. Fails with ErrorCode::kInvalidConfiguration,
 /// kTooLarge (above one megabyte) or kDigestMismatch, and a std::vector<Fault>.
 boost::leaf::result<VersionedDocument> ReadDocument(std::string_view text);
--- /dev/null
+++ b/src/libctl/checkcommand.h
@@ -0,0 +1,48 @@
+#ifndef FIREFLYTRESTLE_LIBCTL_CHECKCOMMAND_H_
+#define FIREFLYTRESTLE_LIBCTL_CHECKCOMMAND_H_
+
+#include <string>
+#include <vector>
+
+#include "libctl/checkreport.h"
+#include "libctl/configurationfilereader.h"
+
+namespace fireflytrestle {
+
+/// \brief Checks a file with a configuration, alone or against the one in
+/// force.
+class CheckCommand {
+ public:
+  /// Checks \p path. \p against is the file with the configuration in force, or
+  /// empty.
+  CheckCommand(ConfigurationFileReader reader,
+               std::string path,
+               std::string against);
+
+  void Run();
+
+  const CheckReport& report() const { return m_report; }
+
+  /// Returns the lines for operators: one for each difference, and a summary.
+  std::vector<std::string> FormatLines() const;
+
+  /// Returns the result as one JSON object on one line.
+  std::string FormatJson() const;
+
+ private:
+  /// Returns whether \p path could be decoded; otherwise its faults are errors
+  /// of the report.
+  bool Read(const std::string& path, ConfigurationFileReader::Content* content);
+
+  void Compare(const ConfigurationFileReader::Content& from,
+               const ConfigurationFileReader::Content& to);
+
+  ConfigurationFileReader m_reader;
+  std::string m_path;
+  std::string m_against;
+  CheckReport m_report;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBCTL_CHECKCOMMAND_H_
--- a/src/libctl/commandline.cpp
+++ b/src/libctl/commandline.cpp
@@ -22,29 +22,44 @@
   kBase,
   kOutput,
   kRevision,
+  kAgainst,
   kForce,
+  kStrict,
+  kJson,
   kHelp,
   kVersion
 };
 
+enum class Operand { kNone, kZone, kFile };
+
 struct Command {
   const char* name;
-  bool takes_zone;
+  Operand operand;
   std::vector<const char*> required;
   std::vector<const char*> optional;
 };
 
 const std::vector<Command>& Commands() {
   static const std::vector<Command> commands{
-      {"check", false, {"questionnaire"}, {}},
-      {"generate", false, {"questionnaire", "output"}, {"base", "revision"}},
-      {"diff", false, {"questionnaire", "base"}, {}},
-      {"zone-out", true, {"base", "output"}, {"force"}},
-      {"zone-in", true, {"base", "output"}, {}},
-      {"show", false, {"base"}, {}}};
+      {"check", Operand::kNone, {"questionnaire"}, {}},
+      {"generate",
+       Operand::kNone,
+       {"questionnaire", "output"},
+       {"base", "revision"}},
+      {"diff", Operand::kNone, {"questionnaire", "base"}, {}},
+      {"zone-out", Operand::kZone, {"base", "output"}, {"force"}},
+      {"zone-in", Operand::kZone, {"base", "output"}, {}},
+      {"show", Operand::kNone, {"base"}, {}}};
   return commands;
 }
 
+/// The command "check" without --questionnaire.
+const Command& CheckFileCommand() {
+  static const Command command{
+      "check", Operand::kFile, {}, {"against", "strict", "json"}};
+  return command;
+}
+
 poptOption StringOption(const char* name, int code) {
   return {name, '\0', POPT_ARG_STRING, nullptr, code, nullptr, nullptr};
 }
@@ -89,7 +104,10 @@
         StringOption("base", kBase),
         StringOption("output", kOutput),
         StringOption("revision", kRevision),
+        StringOption("against", kAgainst),
         Flag("force", kForce),
+        Flag("strict", kStrict),
+        Flag("json", kJson),
         Flag("help", kHelp),
         Flag("version", kVersion),
         poptOption{nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
@@ -122,6 +140,8 @@
   void ReadOption(int code, const char* name, const char* value) {
     if (value == nullptr) {
       m_line.force = m_line.force || code == kForce;
+      m_line.strict = m_line.strict || code == kStrict;
+      m_line.json = m_line.json || code == kJson;
       m_line.help = m_line.help || code == kHelp;
       m_line.version = m_line.version || code == kVersion;
     } else if (*value == '\0') {
@@ -136,25 +156,38 @@
       AddFault("command", "it is missing", kSeeHelp);
       return;
     }
-    const auto command = std::ranges::find(
+    const auto found = std::ranges::find(
         Commands(), m_operands.front(),
         [](const Command& each) { return std::string(each.name); });
-    if (command == Commands().end()) {
+    if (found == Commands().end()) {
       AddFault(m_operands.front(), "it is not a command", kSeeHelp);
       return;
     }
+    const bool checks_file = m_operands.front() == CheckFileCommand().name &&
+                             !m_line.values.contains("questionnaire");
+    const Command* command = checks_file ? &CheckFileCommand() : &*found;
     m_line.command = command->name;
     CheckOptions(*command);
-    const std::size_t expected = command->takes_zone ? 2 : 1;
+    const std::size_t expected = command->operand == Operand::kNone ? 1 : 2;
     if (m_operands.size() < expected) {
-      AddFault(m_line.command, "the availability zone is missing",
+      AddFault(m_line.command,
+               command->operand == Operand::kZone
+                   ? "the availability zone is missing"
+                   : "the file, or --questionnaire, is missing",
                "state it after the command");
     }
     for (std::size_t i = expected; i < m_operands.size(); ++i) {
       AddFault(m_operands[i], "it is one argument too many", kSeeHelp);
     }
-    if (command->takes_zone && m_operands.size() > 1) {
+    if (m_operands.size() < expected || expected < 2) {
+      return;
+    }
+    if (command->operand == Operand::kZone) {
       m_line.zone = m_operands[1];
+    } else if (m_operands[1].empty()) {
+      AddFault(m_line.command, "the name of the file is empty", kSeeHelp);
+    } else {
+      m_line.file = m_operands[1];
     }
   }
 
@@ -173,8 +206,12 @@
     for (const auto& [name, value] : m_line.values) {
       given.push_back(name);
     }
-    if (m_line.force) {
-      given.emplace_back("force");
+    for (const auto& [name, is_given] :
+         {std::pair("force", m_line.force), std::pair("strict", m_line.strict),
+          std::pair("json", m_line.json)}) {
+      if (is_given) {
+        given.emplace_back(name);
+      }
     }
     for (const std::string& name : given) {
       if (!contains(command.required, name) &&
@@ -200,12 +237,15 @@
 std::string HelpText() {
   return R"(Usage: fireflytrestle-ctl COMMAND [OPTION...]
 
-Checks a questionnaire and writes the configuration to publish. Publishes
-nothing itself.
+Checks a questionnaire or a configuration, and writes the configuration to
+publish. Publishes nothing itself.
 
 Commands:
   check    --questionnaire FILE
            report all faults of a questionnaire
+  check    FILE [--against CURRENT] [--strict] [--json]
+           report all faults of a configuration before it is published, and
+           what it changes for callers
   generate --questionnaire FILE [--base CURRENT] [--revision N] --output FILE
            write the configuration that follows from a questionnaire; CURRENT is
            the configuration in effect, needed for all but the first one
@@ -223,11 +263,16 @@
   --base CURRENT        published configuration to start from
   --output FILE         file to write; it may be CURRENT
   --revision N          revision to write; default: the one after CURRENT
+  --against CURRENT     configuration in force to compare with
+  --strict              warnings alone end a check of FILE with code 1
+  --json                print the check of FILE as one JSON object
   --force               take out the last zone with targets of a service
   --help                show this text
   --version             show the version
 
-Exit codes: 0 success, 1 the output could not be written, 2 invalid input.
+Exit codes: 0 success, 1 the output could not be written, 2 invalid input. A
+check of FILE ends with 0 without errors, 1 with --strict and warnings only, and
+2 with errors.
 )";
 }
 
--- a/src/libctl/commandline.h
+++ b/src/libctl/commandline.h
@@ -14,9 +14,13 @@
   std::string command;
   /// Availability zone for zone-out and zone-in; empty for other commands.
   std::string zone;
+  /// Configuration to check; empty for other commands.
+  std::string file;
   /// Maps the name of each option with a value, without dashes, to that value.
   std::map<std::string, std::string> values;
   bool force = false;
+  bool strict = false;
+  bool json = false;
   bool help = false;
   bool version = false;
 };
--- a/src/libctl/controltool.cpp
+++ b/src/libctl/controltool.cpp
@@ -18,6 +18,7 @@
 #include "libconfig/configurationgenerator.h"
 #include "libconfig/questionnaire.h"
 #include "libconfig/questionnairereader.h"
+#include "libctl/checkcommand.h"
 #include "libctl/commandline.h"
 #include "libctl/textfile.h"
 
@@ -76,8 +77,12 @@
 
 ControlTool::ControlTool(std::string version,
                          std::ostream* output,
-                         std::ostream* errors)
-    : m_version(std::move(version)), m_output(output), m_errors(errors) {}
+                         std::ostream* errors,
+                         ConfigurationFileReader reader)
+    : m_version(std::move(version)),
+      m_output(output),
+      m_errors(errors),
+      m_reader(std::move(reader)) {}
 
 int ControlTool::Run(const std::vector<std::string>& arguments) {
   return boost::leaf::try_handle_all(
@@ -108,7 +113,7 @@
     return kSuccess;
   }
   if (line.command == "check") {
-    return Check(line);
+    return line.file.empty() ? CheckAnswers(line) : CheckFile(line);
   }
   if (line.command == "generate") {
     return Generate(line);
@@ -122,7 +127,7 @@
   return SetZoneOut(line, line.command == "zone-out");
 }
 
-boost::leaf::result<int> ControlTool::Check(const CommandLine& line) {
+boost::leaf::result<int> ControlTool::CheckAnswers(const CommandLine& line) {
   const std::string path = OptionValue(line, "questionnaire");
   BOOST_LEAF_AUTO(answers, ReadAnswers(path));
   BOOST_LEAF_AUTO(configuration, GenerateConfiguration(answers, nullptr));
@@ -136,6 +141,29 @@
   return kSuccess;
 }
 
+int ControlTool::CheckFile(const CommandLine& line) {
+  CheckCommand check(m_reader, line.file, OptionValue(line, "against"));
+  check.Run();
+  const CheckReport& report = check.report();
+  if (line.json) {
+    *m_output << check.FormatJson();
+  } else {
+    for (const Fault& fault : report.errors) {
+      PrintFault(fault);
+    }
+    for (const Fault& fault : report.warnings) {
+      PrintFault(fault, "warning");
+    }
+    for (const std::string& each : check.FormatLines()) {
+      PrintLine(m_output, each);
+    }
+  }
+  if (!report.errors.empty()) {
+    return kInvalidInput;
+  }
+  return line.strict && !report.warnings.empty() ? kWarnings : kSuccess;
+}
+
 boost::leaf::result<int> ControlTool::Generate(const CommandLine& line) {
   BOOST_LEAF_AUTO(answers, ReadAnswers(OptionValue(line, "questionnaire")));
   Configuration base;
@@ -379,9 +407,10 @@
   }
 }
 
-void ControlTool::PrintFault(const Fault& fault) {
-  PrintLine(m_errors, "fireflytrestle-ctl: error: " + fault.source + ": " +
-                          fault.problem + "; " + fault.remedy);
+void ControlTool::PrintFault(const Fault& fault, const char* severity) {
+  PrintLine(m_errors, std::string("fireflytrestle-ctl: ") + severity + ": " +
+                          fault.source + ": " + fault.problem + "; " +
+                          fault.remedy);
 }
 
 void ControlTool::PrintLine(std::ostream* stream, const std::string& line) {
--- a/tests/libctl/controltooltest.cpp
+++ b/tests/libctl/controltooltest.cpp
@@ -7,73 +7,15 @@
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
 
-namespace fireflytrestle {
-namespace {
-
-/// \brief Runs the tool on files in a temporary folder.
-class Fixture {
- public:
-  Fixture() {
-    std::string name =
-        (std::filesystem::temp_directory_path() / "ctlXXXXXX").string();
-    m_folder = mkdtemp(name.data());
-    Write("q.yaml", Read(FIREFLYTRESTLE_SOURCE_DIR "/examples/tesfaye.yaml"));
-  }
-  ~Fixture() { std::filesystem::remove_all(m_folder); }
-  Fixture(const Fixture&) = delete;
-  Fixture& operator=(const Fixture&) = delete;
-
-  /// Runs one command line; words that start with @ name files in the folder.
-  int Run(const std::string& command) {
-    std::istringstream words(command);
-    std::vector<std::string> arguments;
-    for (std::string word; words >> word;) {
-      arguments.push_back(word[0] == '@' ? Path(word.substr(1)) : word);
-    }
-    std::ostringstream out;
-    std::ostringstream err;
-    const int code = ControlTool("1.2.3", &out, &err).Run(arguments);
-    m_output = out.str();
-    m_errors = err.str();
-    return code;
-  }
-
-  std::string Path(const std::string& name) const {
-    return m_folder + "/" + name;
-  }
-  std::string Read(const std::string& path) const {
-    std::ostringstream text;
-    text << std::ifstream(path).rdbuf();
-    return text.str();
-  }
-  void Write(const std::string& name, const std::string& text) const {
-    std::ofstream(Path(name)) << text;
-  }
-  void Replace(const std::string& name,
-               const std::string& from,
-               const std::string& to) const {
-    std::string text = Read(Path(name));
-    REQUIRE(text.find(from) != std::string::npos);
-    text.replace(text.find(from), from.size(), to);
-    Write(name, text);
-  }
-  /// Returns whether the last run printed \p text to its error stream.
-  bool Reported(const std::string& text) const {
-    return m_errors.find(text) != std::string::npos;
-  }
-  const std::string& output() const { return m_output; }
-  const std::string& errors() const { return m_errors; }
+#include "libctl/controltoolfixture.h"
 
- private:
-  std::string m_folder;
-  std::string m_output;
-  std::string m_errors;
-};
+namespace fireflytrestle {
 
-}  // namespace
+using Fixture = ControlToolFixture;
 
 TEST_CASE("a site is generated, revised and regenerated with its zones out") {
   // Guards against a command whose result the next command cannot use, and
