Do not search for more flows after an outage while the first searches run

Cause: the first 12 searches of a balancer are to show whether all flows are lost, and further ones are deferred; but after 100 ms they began all the same.

They are now deferred for up to 500 ms until the first ones have shown it. The new test counted 4,980 queries before (bound: 12 searches at 60 agents, 720) and passes now.

--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -37,6 +37,9 @@
 /// Time of a deferred search: agents report a flow that has just opened to the
 /// balancers of its zone within 100 ms.
 constexpr milliseconds kDeferTime{100};
+/// Longest time of a deferred search while the first searches of a recovery
+/// have not shown yet whether all flows are lost.
+constexpr milliseconds kMaxDeferTime{500};
 /// An agent that has not answered a query after this time may have been lost.
 constexpr milliseconds kQueryTimeout{100};
 /// Agents answer the first heartbeat at once; those that have not done so
@@ -414,7 +417,13 @@
     if (entry == nullptr || !entry->is_deferred) {
       return true;
     }
-    const bool is_due = now - entry->placed >= kDeferTime;
+    // Hundreds of searches at once would keep the agents from answering the
+    // first ones.
+    const Duration limit = !m_loss_detector.AreAllFlowsLost(now) &&
+                                   m_loss_detector.ShouldDeferSearches(now)
+                               ? kMaxDeferTime
+                               : kDeferTime;
+    const bool is_due = now - entry->placed >= limit;
     if (is_due) {
       ended.push_back(tuple);
     }
--- a/tests/libflow/orphanedflowstest.cpp
+++ b/tests/libflow/orphanedflowstest.cpp
@@ -226,6 +226,34 @@
   CHECK(site.AnswersTo(fresh) == 2);
 }
 
+// Guards against agents that are kept busy by hundreds of searches while the
+// first ones would show that all flows are lost.
+TEST_CASE("pattern: agents that answer late after an outage get few searches") {
+  constexpr std::size_t kAgents = 60;
+  FlowSite site(2, kAgents);
+  for (const auto& agent : site.agents) {
+    agent->upstream->Restart();
+    agent->entry.started_unix_ms =
+        static_cast<std::uint64_t>(site.WallNow().time_since_epoch().count());
+    agent->entry.cold_left = milliseconds(4000);
+    site.BumpRevision(agent.get());
+  }
+  RestartProcesses(&site, kAgents);
+  site.Run(milliseconds(200));
+  site.queried = 0;
+  site.delay = [](const SocketAddress&, const SocketAddress&) {
+    return milliseconds(100);
+  };
+  for (std::uint32_t number = 0; number < 100; ++number) {
+    SendOrphanedPacket(&site, number);
+  }
+  site.Run(milliseconds(400));
+  CHECK(site.queried <= 12 * kAgents);
+  for (std::uint32_t number = 0; number < 100; ++number) {
+    CHECK(site.ResetsOf(FlowSite::Tuple(900 + number)) == 1);
+  }
+}
+
 TEST_CASE("a search that is deferred twice ends once") {
   constexpr std::size_t kAgents = 60;
   FlowSite site(2, kAgents);
