Agents measure the work and the expected wait of their upstreams

Agents took the time from delivery to the first byte of an answer for the work of a request. It includes the wait in the upstream's own queue, so that a queue, or a slow class in it, made every class seem slow. Balancers learnt only a number of requests.

RunningRequests follows which of the delivered requests have a slot, in order of delivery; the work runs from that moment. The first samples of a class count more, since the initial value is a guess. A report has the expected wait and work as two more fields for balancers that ask for them with one more field in their request; impossible figures make the decoder reject the report. Requests that hang count with the time that they have taken.

New metrics: upstream_wait_seconds and upstream_work_seconds.

--- a/src/flowagent/flowagentprocess.cpp
+++ b/src/flowagent/flowagentprocess.cpp
@@ -112,6 +112,13 @@
   metrics.Gauge("upstream_running",
                 "Requests that the upstream has not begun to answer",
                 static_cast<double>(m_gauges.running));
+  constexpr double kMicro = 1e6;
+  metrics.Gauge("upstream_wait_seconds",
+                "Expected time until a slot is free for a new request",
+                static_cast<double>(m_gauges.wait_us) / kMicro);
+  metrics.Gauge("upstream_work_seconds",
+                "Expected work of a request of the recent mix; 0 if unknown",
+                static_cast<double>(m_gauges.work_us) / kMicro);
   metrics.Gauge("agent_phase", "State of agent and upstream; always 1", 1,
                 {{"phase", ToString(m_gauges.phase)}});
   metrics.Counter("node_messages_total", "Messages of balancers received",
--- a/src/flowagent/flowagentworker.cpp
+++ b/src/flowagent/flowagentworker.cpp
@@ -102,8 +102,12 @@
 }
 
 void FlowAgentWorker::Tick() {
-  m_tracker.OnTick(m_clock.Now());
+  const TimePoint now = m_clock.Now();
+  m_tracker.OnTick(now);
   m_output.Flush();
+  const UpstreamLoad load = m_tracker.Load(now).value_or(UpstreamLoad{});
+  m_gauges->wait_us = load.wait.count();
+  m_gauges->work_us = load.work.count();
   m_gauges->flows = m_tracker.flow_count();
   m_gauges->running = m_tracker.running();
   m_gauges->phase = m_tracker.phase();
--- a/src/flowagent/flowagentworker.h
+++ b/src/flowagent/flowagentworker.h
@@ -23,6 +23,9 @@
   struct Gauges {
     std::atomic<std::uint64_t> flows{0};
     std::atomic<std::uint64_t> running{0};
+    /// Expected wait and work of a request in microseconds; 0 if not known.
+    std::atomic<std::int64_t> wait_us{0};
+    std::atomic<std::int64_t> work_us{0};
     std::atomic<std::uint64_t> node_messages{0};
     std::atomic<std::uint64_t> upstream_packets{0};
     std::atomic<std::uint64_t> send_failures{0};
--- a/src/libflow/balancertable.cpp
+++ b/src/libflow/balancertable.cpp
@@ -76,6 +76,7 @@
   balancer.last_heartbeat = now;
   balancer.zone = request.zone;
   balancer.report_interval = request.interval;
+  balancer.wants_load = request.wants_load;
 }
 
 const BalancerTable::Balancer* BalancerTable::Find(
@@ -90,6 +91,11 @@
   return balancer == nullptr ? std::nullopt : balancer->report_interval;
 }
 
+bool BalancerTable::WantsLoad(const SocketAddress& address) const {
+  const Balancer* balancer = Find(address);
+  return balancer != nullptr && balancer->wants_load;
+}
+
 bool BalancerTable::TakeDueReport(const SocketAddress& address, TimePoint now) {
   if (!WantsReports(address, now)) {
     return false;
--- a/src/libflow/balancertable.h
+++ b/src/libflow/balancertable.h
@@ -40,6 +40,9 @@
   std::optional<std::chrono::milliseconds> ReportInterval(
       const SocketAddress& address) const;
 
+  /// Whether the balancer reads the upstream's load in reports.
+  bool WantsLoad(const SocketAddress& address) const;
+
   /// Whether the balancer gets regular reports.
   bool WantsReports(const SocketAddress& address, TimePoint now) const;
 
@@ -79,6 +82,7 @@
     /// Empty until the balancer has sent a request.
     std::string zone;
     std::optional<std::chrono::milliseconds> report_interval;
+    bool wants_load = false;
     /// When the present incarnation was first seen.
     TimePoint first_seen;
     TimePoint last_heartbeat;
--- a/src/libflow/flowdecision.h
+++ b/src/libflow/flowdecision.h
@@ -51,8 +51,8 @@
     kReleased,
     /// An upstream has not begun to answer a request for too long.
     kUnanswered,
-    /// An upstream resets so many requests that it gets only single flows as
-    /// probes.
+    /// An upstream resets so many requests, or leaves so many unanswered, that
+    /// it gets only single flows as probes.
     kUpstreamFailing,
     kCount,
   };
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -92,6 +92,7 @@
       now - m_last_activity >= kPauseThreshold) {
     m_resumed = now;
     m_view_confirmed = false;
+    m_running_requests.OnPause(now);
     Report(Kind::kPeerPhase, {}, {}, "resumed");
     m_reporter.SendToAll(MakeStatus(now), m_balancers);
   }
@@ -430,16 +431,19 @@
 void FlowTracker::StartRequest(UpstreamFlow* flow, TimePoint now) {
   flow->running = true;
   flow->delivered = now;
+  flow->request = m_running_requests.Add(flow->flow_class, now);
   if (++m_running == m_pending_requests.slots()) {
     SendStatusSoon(now);
   }
 }
 
-void FlowTracker::EndRequest(UpstreamFlow* flow) {
-  if (flow->running) {
-    flow->running = false;
-    --m_running;
+std::optional<Duration> FlowTracker::EndRequest(UpstreamFlow* flow) {
+  if (!flow->running) {
+    return std::nullopt;
   }
+  flow->running = false;
+  --m_running;
+  return m_running_requests.Remove(flow->request, m_last_activity);
 }
 
 void FlowTracker::EraseFlow(UpstreamFlowTable::iterator position) {
@@ -542,10 +546,12 @@
     }
   }
   if (packet->data_bytes > 0 && flow.running) {
-    m_pending_requests.OnAnswer(flow.flow_class, now - flow.delivered);
+    if (const std::optional<Duration> work = EndRequest(&flow)) {
+      m_pending_requests.OnAnswer(flow.flow_class, *work);
+      m_recent_work.OnAnswer(*work, now);
+    }
     m_health.OnAnswer();
     m_output->Measure(FlowMeasurement::kAnswer, now - flow.delivered);
-    EndRequest(&flow);
   }
   if (packet->reset) {
     OnUpstreamReset(tuple, flow, now);
@@ -564,10 +570,20 @@
   if (!flow.running && flow.state != State::kOpening) {
     return;
   }
+  OnFailures(1, tuple, flow.balancer, "requests_reset", now);
+}
+
+void FlowTracker::OnFailures(int count,
+                             const FlowTuple& tuple,
+                             const SocketAddress& balancer,
+                             const char* reason,
+                             TimePoint now) {
   const bool was_failing = m_health.IsFailing();
-  m_health.OnFailure(now);
+  for (int i = 0; i < count; ++i) {
+    m_health.OnFailure(now);
+  }
   if (!was_failing && m_health.IsFailing()) {
-    Report(Kind::kUpstreamFailing, tuple, flow.balancer, "requests_reset");
+    Report(Kind::kUpstreamFailing, tuple, balancer, reason);
   }
 }
 
@@ -688,6 +704,7 @@
   }
   m_entry_revision = heartbeat.entry_revision;
   m_pending_requests.SetSlots(heartbeat.slots);
+  m_running_requests.SetSlots(heartbeat.slots);
   m_draining = heartbeat.draining;
 }
 
@@ -701,6 +718,8 @@
   m_flows.clear();
   m_pending_requests = {};
   m_health = {};
+  m_running_requests = {};
+  m_recent_work = {};
   m_running = 0;
 }
 
@@ -737,6 +756,11 @@
     m_next_sweep = now + kSweepInterval;
     Sweep(now);
   }
+  OnFailures(m_running_requests.TakeUnanswered(m_pending_requests.work(), now),
+             {}, {}, "requests_unanswered", now);
+  if (m_running > 0) {
+    m_recent_work.OnBusy(now);
+  }
   ExpireRequests(now);
   ReleaseRequests(now);
   if (m_reporter.IsDue(now)) {
@@ -784,6 +808,7 @@
       m_running + static_cast<std::uint32_t>(m_pending_requests.size());
   status.new_balancers = m_balancers.NextNewBalancers(now);
   status.needs_handover = m_knowledge.NeedsHandover(now);
+  m_opening = 0;
   for (const auto& [tuple, flow] : m_flows) {
     const bool counts =
         flow.state == State::kOpening || flow.state == State::kOpen;
@@ -795,11 +820,26 @@
     const bool brings_request = flow.state == State::kOpening &&
                                 !flow.flow_class.long_lived &&
                                 now - flow.last_packet < kFirstRequestTimeout;
-    status.running += brings_request ? 1 : 0;
+    m_opening += brings_request ? 1 : 0;
   }
+  status.running += m_opening;
+  status.load = Load(now);
   return status;
 }
 
+std::optional<UpstreamLoad> FlowTracker::Load(TimePoint now) const {
+  using std::chrono::microseconds;
+  const std::optional<Duration> work = m_recent_work.Average(now);
+  if (!work || m_pending_requests.slots() == 0) {
+    return std::nullopt;
+  }
+  const Duration wait = m_running_requests.Wait(
+      m_pending_requests.work(), m_pending_requests.size() + m_opening,
+      m_pending_requests.WaitingWork() + *work * m_opening, now);
+  return UpstreamLoad{std::chrono::duration_cast<microseconds>(wait),
+                      std::chrono::duration_cast<microseconds>(*work)};
+}
+
 void FlowTracker::SendStatus(TimePoint now) {
   m_placed_since_status = 0;
   m_reporter.Send(MakeStatus(now), &m_balancers, now);
--- a/src/libflow/flowtracker.h
+++ b/src/libflow/flowtracker.h
@@ -12,6 +12,8 @@
 #include "libflow/flowknowledge.h"
 #include "libflow/nodemessage.h"
 #include "libflow/pendingrequestqueue.h"
+#include "libflow/recentwork.h"
+#include "libflow/runningrequests.h"
 #include "libflow/statusreporter.h"
 #include "libflow/upstreamflow.h"
 #include "libflow/upstreamhealth.h"
@@ -88,6 +90,8 @@
   std::uint32_t running() const { return m_running; }
   /// Requests that wait for a slot of the upstream.
   std::size_t waiting() const { return m_pending_requests.size(); }
+  /// Load and speed of the upstream; empty while they are not known.
+  std::optional<UpstreamLoad> Load(TimePoint now) const;
   AgentPhase phase() const { return m_phase; }
 
  private:
@@ -129,7 +133,14 @@
   /// has passed.
   void SendStatusSoon(TimePoint now);
   void StartRequest(UpstreamFlow* flow, TimePoint now);
-  void EndRequest(UpstreamFlow* flow);
+  /// Returns for how long the upstream has worked on the request, if known.
+  std::optional<Duration> EndRequest(UpstreamFlow* flow);
+  /// Records that the upstream failed \p count requests or opening flows.
+  void OnFailures(int count,
+                  const FlowTuple& tuple,
+                  const SocketAddress& balancer,
+                  const char* reason,
+                  TimePoint now);
   /// Handles a reset from the upstream. It counts as a failure if a request was
   /// running or the flow was still opening.
   void OnUpstreamReset(const FlowTuple& tuple,
@@ -223,8 +234,12 @@
   ColdStartLimiter m_cold_start;
   PendingRequestQueue m_pending_requests;
   UpstreamHealth m_health;
+  RunningRequests m_running_requests;
+  RecentWork m_recent_work;
   /// Flows with \ref UpstreamFlow::running.
   std::uint32_t m_running = 0;
+  /// Short flows that were opening at the last status.
+  std::uint32_t m_opening = 0;
   std::uint32_t m_placed_since_status = 0;
   TimePoint m_next_sweep;
 };
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -13,6 +13,7 @@
 #include "libbase/socketaddress.h"
 #include "libflow/flowclass.h"
 #include "libflow/flowtuple.h"
+#include "libflow/upstreamload.h"
 #include "libsite/sharedchanges.h"
 
 namespace fireflytrestle {
@@ -120,6 +121,9 @@
   /// does not send them.
   std::string_view service;
   Revision entry_revision{};
+  /// The balancer reads AgentStatus::load; earlier versions reject reports that
+  /// have it.
+  bool wants_load = false;
 };
 
 enum class AgentPhase : std::uint8_t {
@@ -184,6 +188,9 @@
   std::uint64_t number = 0;
   /// The agent has started a moment ago and has got no FlowHandover.
   bool needs_handover = false;
+  /// Sent only together with \ref report_interval; empty if the agent has no
+  /// figures yet, or is of an earlier version.
+  std::optional<UpstreamLoad> load;
 };
 
 using NodeMessage = std::variant<DeliverMessage,
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -45,9 +45,16 @@
 constexpr std::uint32_t kStartedStatusFields = kStatusFields + 1;
 constexpr std::uint32_t kStartedNumberedStatusFields =
     kNumberedStatusFields + 1;
+/// The same for a status with a report interval and the upstream's load.
+constexpr std::uint32_t kLoadStatusFields = kStartedNumberedStatusFields + 2;
 constexpr std::uint32_t kReportRequestFields = 3;
 /// The same for a request that names the service of the agent's address.
 constexpr std::uint32_t kServiceReportRequestFields = 5;
+/// Both kinds of request have one more field from a balancer that reads the
+/// upstream's load.
+constexpr std::uint32_t kLoadReportRequestFields = kReportRequestFields + 1;
+constexpr std::uint32_t kLoadServiceReportRequestFields =
+    kServiceReportRequestFields + 1;
 constexpr std::uint32_t kFlowFields = 5;
 constexpr std::uint32_t kAddressFields = 2;
 constexpr std::uint32_t kSharedChangesFields = 9;
@@ -62,6 +69,9 @@
 constexpr std::uint64_t kMax64 = std::numeric_limits<std::uint64_t>::max();
 constexpr std::uint64_t kMaxMs = 24ULL * 3600 * 1000;
 constexpr std::uint64_t kMaxHandoverParts = 10'000;
+/// No caller waits for a request for as long; a report that says more is wrong.
+constexpr std::uint64_t kMaxWorkUs = 60ULL * 1000 * 1000;
+constexpr std::uint64_t kMaxWaitUs = 3600ULL * 1000 * 1000;
 
 void WriteHead(MsgpackWriter* writer, Kind kind, std::uint32_t fields) {
   writer->WriteArray(fields);
@@ -84,6 +94,15 @@
   writer->WriteUint(std::min(static_cast<std::uint64_t>(count), kMaxMs));
 }
 
+/// The same in microseconds, with the given range.
+void WriteDuration(MsgpackWriter* writer,
+                   std::chrono::microseconds time,
+                   std::uint64_t min,
+                   std::uint64_t max) {
+  const auto count = std::max<std::int64_t>(time.count(), 0);
+  writer->WriteUint(std::clamp(static_cast<std::uint64_t>(count), min, max));
+}
+
 std::chrono::milliseconds ReadTime(MsgpackReader* reader) {
   return std::chrono::milliseconds(reader->ReadUint(0, kMaxMs));
 }
@@ -213,9 +232,11 @@
 }
 
 void Write(MsgpackWriter* writer, const AgentStatus& message) {
-  WriteHead(writer, Kind::kAgentStatus,
-            (message.report_interval ? kNumberedStatusFields : kStatusFields) +
-                (message.needs_handover ? 1 : 0));
+  const bool has_load = message.report_interval && message.load;
+  const std::uint32_t fields =
+      (message.report_interval ? kNumberedStatusFields : kStatusFields) +
+      (message.needs_handover ? 1 : 0);
+  WriteHead(writer, Kind::kAgentStatus, has_load ? kLoadStatusFields : fields);
   writer->WriteUint(static_cast<std::uint64_t>(message.incarnation));
   WriteName(writer, message.service);
   WriteName(writer, message.zone);
@@ -229,21 +250,29 @@
     WriteTime(writer, *message.report_interval);
     writer->WriteUint(message.number);
   }
-  if (message.needs_handover) {
+  if (message.needs_handover || has_load) {
     writer->WriteBool(message.needs_handover);
   }
+  if (has_load) {
+    WriteDuration(writer, message.load->wait, 0, kMaxWaitUs);
+    WriteDuration(writer, message.load->work, 1, kMaxWorkUs);
+  }
 }
 
 void Write(MsgpackWriter* writer, const ReportRequest& message) {
   WriteHead(writer, Kind::kReportRequest,
-            message.service.empty() ? kReportRequestFields
-                                    : kServiceReportRequestFields);
+            (message.service.empty() ? kReportRequestFields
+                                     : kServiceReportRequestFields) +
+                (message.wants_load ? 1 : 0));
   WriteName(writer, message.zone);
   WriteTime(writer, message.interval);
   if (!message.service.empty()) {
     WriteName(writer, message.service);
     writer->WriteUint(static_cast<std::uint64_t>(message.entry_revision));
   }
+  if (message.wants_load) {
+    writer->WriteBool(message.wants_load);
+  }
 }
 
 void Write(MsgpackWriter* writer, const SharedChanges& message) {
@@ -392,6 +421,15 @@
   return message;
 }
 
+AgentStatus ReadLoadStatus(MsgpackReader* reader) {
+  AgentStatus message = ReadStarted<ReadNumberedStatus>(reader);
+  UpstreamLoad load;
+  load.wait = std::chrono::microseconds(reader->ReadUint(0, kMaxWaitUs));
+  load.work = std::chrono::microseconds(reader->ReadUint(1, kMaxWorkUs));
+  message.load = load;
+  return message;
+}
+
 ReportRequest ReadReportRequest(MsgpackReader* reader) {
   ReportRequest message;
   message.zone = ReadName(reader);
@@ -406,6 +444,13 @@
   return message;
 }
 
+template <auto Reader>
+ReportRequest ReadLoadReportRequest(MsgpackReader* reader) {
+  ReportRequest message = Reader(reader);
+  message.wants_load = reader->ReadBool();
+  return message;
+}
+
 std::string ReadText(MsgpackReader* reader) {
   const std::span<const std::uint8_t> bytes = reader->ReadBinary(kMaxItemBytes);
   return {bytes.begin(), bytes.end()};
@@ -461,10 +506,15 @@
     {Kind::kAgentStatus, kStartedStatusFields, ReadAs<ReadStarted<ReadStatus>>},
     {Kind::kAgentStatus, kStartedNumberedStatusFields,
      ReadAs<ReadStarted<ReadNumberedStatus>>},
+    {Kind::kAgentStatus, kLoadStatusFields, ReadAs<ReadLoadStatus>},
     {Kind::kSharedChanges, kSharedChangesFields, ReadAs<ReadSharedChanges>},
     {Kind::kReportRequest, kReportRequestFields, ReadAs<ReadReportRequest>},
     {Kind::kReportRequest, kServiceReportRequestFields,
      ReadAs<ReadServiceReportRequest>},
+    {Kind::kReportRequest, kLoadReportRequestFields,
+     ReadAs<ReadLoadReportRequest<ReadReportRequest>>},
+    {Kind::kReportRequest, kLoadServiceReportRequestFields,
+     ReadAs<ReadLoadReportRequest<ReadServiceReportRequest>>},
     {Kind::kFlowQuery, kFlowQueryFields, ReadAs<ReadFlowQuery>},
     {Kind::kFlowHandover, kFlowHandoverFields, ReadAs<ReadFlowHandover>},
     {Kind::kLivenessQuery, kLivenessQueryFields, ReadAs<ReadLivenessQuery>},
--- a/src/libflow/pendingrequestqueue.cpp
+++ b/src/libflow/pendingrequestqueue.cpp
@@ -33,6 +33,14 @@
          static_cast<int>(std::max(m_slots, 1U));
 }
 
+Duration PendingRequestQueue::WaitingWork() const {
+  Duration work{};
+  for (const Request& each : m_waiting) {
+    work += m_work.Expected(each.flow_class);
+  }
+  return work;
+}
+
 PendingRequestQueue::Request* PendingRequestQueue::Find(
     const FlowTuple& tuple) {
   const auto position =
--- a/src/libflow/pendingrequestqueue.h
+++ b/src/libflow/pendingrequestqueue.h
@@ -67,11 +67,16 @@
   /// their callers' time-out.
   std::vector<Request> TakeExpired(TimePoint now);
 
-  /// Records the time from the delivery of a request to its answer.
+  /// Records the time that the upstream worked on a request.
   void OnAnswer(const FlowClass& flow_class, Duration time) {
     m_work.OnAnswer(flow_class, time);
   }
 
+  const WorkEstimator& work() const { return m_work; }
+
+  /// Returns the expected work of all queued requests.
+  Duration WaitingWork() const;
+
   std::size_t size() const { return m_waiting.size(); }
 
  private:
--- a/src/libflow/statusreporter.cpp
+++ b/src/libflow/statusreporter.cpp
@@ -77,6 +77,9 @@
                             const std::vector<ReportedFlow>& flows,
                             const BalancerTable& balancers) {
   status.report_interval = balancers.ReportInterval(balancer);
+  if (!balancers.WantsLoad(balancer)) {
+    status.load.reset();
+  }
   auto next = flows.begin();
   do {
     const auto count = std::min<std::ptrdiff_t>(
--- a/src/libflow/upstreamflow.h
+++ b/src/libflow/upstreamflow.h
@@ -39,6 +39,8 @@
   bool caller_closed = false;
   /// A request was sent to the upstream, which has not begun to answer it.
   bool running = false;
+  /// Its number in RunningRequests.
+  std::uint64_t request = 0;
   /// When that request was sent to the upstream.
   TimePoint delivered{};
   std::uint32_t syn_sequence = 0;
--- a/src/libflow/upstreamhealth.h
+++ b/src/libflow/upstreamhealth.h
@@ -10,7 +10,8 @@
 /// \brief Health of an upstream, derived from the outcomes of its requests.
 ///
 /// An upstream that resets requests at once always has free slots, so that it
-/// would attract most new flows. Once too many of its requests fail, it gets
+/// would attract most new flows. One that leaves a part of them unanswered
+/// passes its liveness check. Once too many of its requests fail, it gets
 /// only single flows as probes, at growing intervals, until enough of them are
 /// answered.
 class UpstreamHealth {
@@ -20,7 +21,8 @@
   static constexpr std::chrono::milliseconds kMaxProbeInterval{1600};
 
   void OnAnswer();
-  /// Records that the upstream reset a request or an opening flow.
+  /// Records that the upstream reset a request or an opening flow, or has not
+  /// answered a request that it could start at once.
   void OnFailure(TimePoint now);
 
   bool IsFailing() const;
--- a/src/libflow/workestimator.h
+++ b/src/libflow/workestimator.h
@@ -12,13 +12,16 @@
 /// class of flows.
 class WorkEstimator {
  public:
-  /// Records the time from the delivery of a request to its answer.
+  /// Records the time that the upstream worked on a request.
   void OnAnswer(const FlowClass& flow_class, Duration time);
 
   /// Returns the expected work of a request; the average over all classes if
   /// none of this class has been answered yet.
   Duration Expected(const FlowClass& flow_class) const;
 
+  /// Whether enough requests of the class were answered for an estimate.
+  bool Knows(const FlowClass& flow_class) const;
+
   /// Returns the average over all classes.
   Duration Average() const { return m_average; }
 
@@ -26,6 +29,7 @@
   struct ClassAverage {
     FlowClass flow_class;
     Duration average;
+    int samples = 0;
   };
 
   Duration m_average = std::chrono::milliseconds(20);
--- a/tests/libflow/nodemessagecodectest.cpp
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -31,6 +31,7 @@
   status.new_balancers.assign(kMaxNewBalancers, {0xFFFFFFFF, 0xFFFF});
   status.report_interval = milliseconds(60000);
   status.number = 0xFFFFFFFFFFFFFFFF;
+  status.load = UpstreamLoad{std::chrono::hours(1), std::chrono::minutes(1)};
   return status;
 }
 
@@ -89,6 +90,14 @@
     request.service = "counter";
     request.entry_revision = Revision{77};
   }
+  SUBCASE("from a balancer that reads the load") {
+    request.wants_load = true;
+  }
+  SUBCASE("with the service, from a balancer that reads the load") {
+    request.service = "counter";
+    request.entry_revision = Revision{77};
+    request.wants_load = true;
+  }
   const std::vector<std::uint8_t> bytes = Encode(request);
   const auto decoded = DecodeNodeMessage(bytes);
   REQUIRE(decoded);
@@ -97,6 +106,7 @@
   CHECK(read.interval == milliseconds(100));
   CHECK(read.service == request.service);
   CHECK(read.entry_revision == request.entry_revision);
+  CHECK(read.wants_load == request.wants_load);
 }
 
 TEST_CASE("a status is decoded with and without a report interval") {
@@ -124,6 +134,39 @@
   CHECK_FALSE(std::get<AgentStatus>(*unnumbered).report_interval);
 }
 
+TEST_CASE("a status is decoded with the load of its upstream") {
+  AgentStatus status;
+  status.report_interval = milliseconds(100);
+  status.number = 7;
+  status.load = UpstreamLoad{milliseconds(30), std::chrono::microseconds(4200)};
+  for (const bool needs_handover : {false, true}) {
+    status.needs_handover = needs_handover;
+    const auto decoded = DecodeNodeMessage(Encode(status));
+    REQUIRE(decoded);
+    CHECK(std::get<AgentStatus>(*decoded).load == status.load);
+    CHECK(std::get<AgentStatus>(*decoded).needs_handover == needs_handover);
+    CHECK(std::get<AgentStatus>(*decoded).number == 7);
+  }
+}
+
+// Guards against a report with impossible figures that draws all new flows to
+// an upstream, or none.
+TEST_CASE("a status with impossible figures is rejected") {
+  AgentStatus status;
+  status.report_interval = milliseconds(100);
+  status.load = UpstreamLoad{milliseconds(0), milliseconds(0)};
+  // The writer limits the work to 1 us, the last byte.
+  std::vector<std::uint8_t> bytes = Encode(status);
+  REQUIRE(DecodeNodeMessage(bytes));
+  bytes.back() = 0;
+  CHECK_FALSE(DecodeNodeMessage(bytes));
+  status.load = UpstreamLoad{milliseconds(0), std::chrono::minutes(1)};
+  bytes = Encode(status);
+  REQUIRE(DecodeNodeMessage(bytes));
+  ++bytes.back();
+  CHECK_FALSE(DecodeNodeMessage(bytes));
+}
+
 TEST_CASE("queries and their answers are decoded unchanged") {
   const FlowTuple tuple{{0xFFFFFFFF, 0xFFFF}, {1, 2}};
   const auto query = DecodeNodeMessage(Encode(FlowQuery{tuple, 77, true}));
