Place short flows by the expected time of the answer

A balancer chose by the number of requests and flows alone, so that an upstream five times slower, or one that hangs, looked like any other with the same number. Long-lived flows count the flows of each slot with the speed, in steps of a half. Without figures, or when they are overdue, the earlier rule applies.

Weighed and dropped: an average that approaches its long-term value while idle, and exact times without steps.

--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -1,6 +1,7 @@
 #include "libflow/agentpeer.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "libflow/agentfailuredetector.h"
 #include "libflow/flowknowledge.h"
@@ -28,6 +29,13 @@
 /// Weight of an open long-lived flow, which may carry a request at any moment,
 /// in the load for a short flow.
 constexpr double kLongFlowWeight = 0.01;
+/// The speed of an upstream counts in these steps for long-lived flows:
+/// differences below a quarter are within the error of the estimate, and would
+/// send the next flow of every balancer to the same upstream.
+constexpr double kSpeedStep = 0.5;
+/// Figures are used until this many reports are overdue: the queue of an
+/// upstream changes completely in a few hundred milliseconds.
+constexpr int kMaxMissedReports = 1;
 constexpr double kMilli = 1000.0;
 /// Balancers return a handover at the agent's first report, which they get
 /// within 50 ms of their first heartbeat to the new run.
@@ -86,6 +94,7 @@
   m_running = status.running;
   m_long_flows = status.long_flows;
   m_oldest_flow = now - status.oldest_flow;
+  m_load = status.load;
   m_placed_short = 0;
   m_placed_long = 0;
   m_reported_service = status.service;
@@ -168,6 +177,55 @@
   return work * (queued + kLongFlowWeight * flows) / slots;
 }
 
+std::optional<double> AgentPeer::Work(TimePoint now) const {
+  if (!m_load || !m_last_report ||
+      now - *m_last_report > m_promised_interval * (1 + kMaxMissedReports) +
+                                 AgentFailureDetector::kDelayAllowance) {
+    return std::nullopt;
+  }
+  return static_cast<double>(m_load->work.count()) / kMilli;
+}
+
+double AgentPeer::TimeToAnswer(double typical_work, TimePoint now) const {
+  const std::optional<double> reported = Work(now);
+  if (!reported) {
+    return typical_work * (1.0 + Load(false, now));
+  }
+  // Samples of a cold upstream already include its slowness.
+  const double work = now < m_cold_until
+                          ? std::max(*reported, typical_work * kColdWorkFactor)
+                          : *reported;
+  const double slots = m_slots;
+  const double wait = static_cast<double>(m_load->wait.count()) / kMilli;
+  const double placed = m_placed_short + m_placed_long;
+  // The reported wait is that of the next request. Flows placed since then
+  // first use the slots that were free.
+  const double queued = m_running < m_slots
+                            ? std::max(placed + 1.0 + m_running - slots, 0.0)
+                            : placed;
+  const double flows = m_long_flows + m_placed_long;
+  return work + wait + work * (queued + kLongFlowWeight * flows) / slots;
+}
+
+double AgentPeer::LastingLoad(double typical_work, TimePoint now) const {
+  const std::optional<double> work = Work(now);
+  if (!work) {
+    return Load(true, now);
+  }
+  const double slots = m_slots;
+  const double speed = std::max(
+      std::round(*work / typical_work / kSpeedStep) * kSpeedStep, kSpeedStep);
+  const double wait = static_cast<double>(m_load->wait.count()) / kMilli;
+  const double placed = m_placed_short + m_placed_long;
+  // Requests that hang count with the number that could have been answered.
+  const double running = std::max(static_cast<double>(m_running),
+                                  std::floor(wait * slots / typical_work)) +
+                         placed;
+  const double flows = m_long_flows + m_placed_long;
+  return (now < m_cold_until ? std::max(speed, kColdWorkFactor) : speed) *
+         (flows + kRunningWeight * running) / slots;
+}
+
 BalancerHeartbeat AgentPeer::MakeHeartbeat(
     Incarnation balancer,
     const std::vector<SocketAddress>& new_balancers,
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -97,10 +97,23 @@
            (m_missing && !m_last_report);
   }
 
-  /// Expected wait of a new flow, in units of the work of one request; lower is
-  /// better.
+  /// Expected wait of a new flow, in units of the work of one request, from the
+  /// number of requests and flows alone; lower is better.
   double Load(bool long_lived, TimePoint now) const;
 
+  /// Returns the expected work of a request in milliseconds; empty if the agent
+  /// does not report it or its last report is older than usual.
+  std::optional<double> Work(TimePoint now) const;
+
+  /// Returns the expected time until a request of a new short flow is answered,
+  /// in milliseconds. \p typical_work is the work of a request at the other
+  /// upstreams, which is assumed here as well if Work() is empty.
+  double TimeToAnswer(double typical_work, TimePoint now) const;
+
+  /// Returns the load for a new long-lived flow: the flows of each slot,
+  /// weighted with the upstream's speed. Equal to Load() if Work() is empty.
+  double LastingLoad(double typical_work, TimePoint now) const;
+
   /// Whether the upstream is in its cold start.
   bool IsCold(TimePoint now) const { return now < m_cold_until; }
 
@@ -177,6 +190,7 @@
   bool m_needs_handover = false;
   bool m_keeps_handover = false;
   std::uint32_t m_running = 0;
+  std::optional<UpstreamLoad> m_load;
   std::uint32_t m_long_flows = 0;
   /// Opening time of the oldest open flow, according to the last report.
   TimePoint m_oldest_flow{};
--- a/src/libflow/heartbeatscheduler.cpp
+++ b/src/libflow/heartbeatscheduler.cpp
@@ -134,7 +134,7 @@
     // flows of the balancer's zone, which it knows from the request.
     m_output->SendToNode(agent.address(),
                          ReportRequest{m_zone, interval, agent.listed_service(),
-                                       agent.entry_revision()});
+                                       agent.entry_revision(), true});
     sent.request_at = now;
     sent.requested_interval = interval;
     sent.requested_service = agent.listed_service();
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -46,7 +46,12 @@
     Output(FlowSite* site, SocketAddress self, Agent* agent)
         : m_site(site), m_self(self), m_agent(agent) {}
     void SendToNode(const SocketAddress& node,
-                    const NodeMessage& message) override {
+                    const NodeMessage& original) override {
+      NodeMessage message = original;
+      if (auto* report = std::get_if<AgentStatus>(&message);
+          report != nullptr && m_site->edit_report) {
+        m_site->edit_report(report);
+      }
       std::vector<std::uint8_t> bytes(2000);
       bytes.resize(EncodeNodeMessage(message, bytes));
       if (const auto* status = std::get_if<AgentStatus>(&message);
@@ -425,6 +430,8 @@
                      const SocketAddress& to,
                      const AgentStatus& status)>
       on_report;
+  /// Changes each report before it is sent, if set.
+  std::function<void(AgentStatus* status)> edit_report;
   /// Called with each decision of a process, if set.
   std::function<void(const SocketAddress& self, const FlowDecision& decision)>
       on_decision;
