--- a/src/libflow/pendingrequestqueue.cpp
+++ b/src/libflow/pendingrequestqueue.cpp
@@ -53,6 +53,14 @@
           m_work.Average() * static_cast<int>(ahead) / static_cast<int>(slots)};
 }
 
+Duration PendingRequestQueue::WaitingWork() const {
+  Duration work{};
+  for (const Request& each : m_waiting) {
+    work += m_work.Expected(each.flow_class);
+  }
+  return work;
+}
+
 PendingRequestQueue::Request* PendingRequestQueue::Find(
     const FlowTuple& tuple) {
   const auto position =
--- a/src/libflow/upstreamflow.h
+++ b/src/libflow/upstreamflow.h
@@ -40,10 +40,10 @@
   bool caller_closed = false;
   /// A request was sent to the upstream, which has not begun to answer it.
   bool running = false;
+  /// Its number in RunningRequests.
+  std::uint64_t request = 0;
   /// When that request was sent to the upstream.
   TimePoint delivered{};
-  /// Number of that request in SlotUsage.
-  std::uint64_t request_number = 0;
   std::uint32_t syn_sequence = 0;
   std::uint32_t upstream_sequence = 0;
   /// Sequence number after the caller's last data byte that was sent to the
--- a/tests/libflow/shedpolicytest.cpp
+++ b/tests/libflow/shedpolicytest.cpp
@@ -10,7 +10,7 @@
 
 #include "libbase/manualclock.h"
 #include "libflow/pendingrequestqueue.h"
-#include "libflow/slotusage.h"
+#include "libflow/runningrequests.h"
 
 namespace fireflytrestle {
 
@@ -129,6 +129,7 @@
   Upstream(const Load& load, bool by_policy)
       : m_load(load), m_by_policy(by_policy) {
     m_pending.SetSlots(kSlots);
+    m_at_upstream.SetSlots(kSlots);
   }
 
   void Arrive(std::uint32_t caller, const Arrival& arrival) {
@@ -154,7 +155,7 @@
         return false;
       }
       --m_sent;
-      if (const auto work = m_slot_usage.End(sent.number, now)) {
+      if (const auto work = m_at_upstream.Remove(sent.number, now)) {
         m_pending.OnAnswer(sent.arrival.flow_class, *work);
       }
       return true;
@@ -164,7 +165,8 @@
     }
     while (const auto released = m_pending.TakeNext(m_sent, now)) {
       const Arrival& arrival = m_arrivals[released->tuple.caller.ipv4];
-      m_queue.push_back({arrival, {}, {}, m_slot_usage.Start(kSlots, now)});
+      m_queue.push_back(
+          {arrival, {}, {}, m_at_upstream.Add(arrival.flow_class, now)});
       ++m_sent;
     }
     while (m_running.size() < kSlots && !m_queue.empty()) {
@@ -195,7 +197,7 @@
   const Load& m_load;
   bool m_by_policy;
   PendingRequestQueue m_pending;
-  SlotUsage m_slot_usage;
+  RunningRequests m_at_upstream;
   std::map<std::uint32_t, Arrival> m_arrivals;
   std::size_t m_sent = 0;
   std::vector<Sent> m_queue;
@@ -402,15 +404,16 @@
 
 TEST_CASE("a request that waits in the upstream's queue occupies no slot") {
   // Guards against estimates of work that grow with the upstream's own queue.
-  SlotUsage usage;
+  RunningRequests requests;
+  requests.SetSlots(1);
   ManualClock clock;
-  const auto first = usage.Start(1, clock.Now());
-  const auto second = usage.Start(1, clock.Now());
+  const auto first = requests.Add(kOrders, clock.Now());
+  const auto second = requests.Add(kOrders, clock.Now());
   clock.Advance(milliseconds(20));
-  CHECK(usage.End(first, clock.Now()) == milliseconds(20));
+  CHECK(requests.Remove(first, clock.Now()) == milliseconds(20));
   clock.Advance(milliseconds(30));
-  CHECK(usage.End(second, clock.Now()) == milliseconds(30));
-  CHECK_FALSE(usage.End(second, clock.Now()));
+  CHECK(requests.Remove(second, clock.Now()) == milliseconds(30));
+  CHECK_FALSE(requests.Remove(second, clock.Now()));
 }
 
 TEST_CASE("no class starves beside dearer ones") {
