Wait for agents of dropped services before a flow counts as lost

Callers saw open flows reset (FLOW) when a configuration dropped a service, and later a balancer and the agents beside the service's upstreams restarted as planned at about the same time.

Cause: the view leaves out entries of services that the configuration does not have, so that a balancer that starts learns of these agents from their reports alone. It waits 1 s for them, and a restart of an agent takes 2 to 3 s.

The view names the addresses of such entries now. While the agent at one of them is unknown, a flow without an owner counts as lost only 5 s after the first view. Such an entry is still no upstream: one of another writer, with no agent at its address, delays resets for these 5 s and has no other effect.

The tests in flowownertest failed without the change of the loss detector and pass; the one in storefollowertest fails if the view does not name the addresses.

--- a/src/libflow/agenttable.cpp
+++ b/src/libflow/agenttable.cpp
@@ -27,6 +27,7 @@
     }
     agent->OnView(&entry, view, now);
   }
+  m_unconfigured_upstreams = view.unconfigured_upstreams;
   Prune(now);
   RebuildServiceIndex();
 }
@@ -70,6 +71,14 @@
   return position == m_by_service.end() ? none : position->second;
 }
 
+bool AgentTable::LacksUnconfiguredAgent() const {
+  return std::any_of(
+      m_unconfigured_upstreams.begin(), m_unconfigured_upstreams.end(),
+      [&](std::uint32_t ipv4) {
+        return !m_agents.contains(SocketAddress{ipv4, m_agent_port});
+      });
+}
+
 void AgentTable::RebuildServiceIndex() {
   m_by_service.clear();
   for (const auto& [address, agent] : m_agents) {
--- a/src/libflow/agenttable.h
+++ b/src/libflow/agenttable.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +40,10 @@
   /// service.
   const std::vector<AgentPeerPtr>& ForService(const std::string& service) const;
 
+  /// Whether the store has an upstream of a service that the configuration does
+  /// not have, and its agent has not reported. The view does not list it.
+  bool LacksUnconfiguredAgent() const;
+
   const std::unordered_map<std::string, std::vector<AgentPeerPtr>>& by_service()
       const {
     return m_by_service;
@@ -53,6 +58,7 @@
   void RebuildServiceIndex();
 
   std::uint16_t m_agent_port;
+  std::set<std::uint32_t> m_unconfigured_upstreams;
   std::unordered_map<SocketAddress, AgentPeerPtr, SocketAddressHash> m_agents;
   std::unordered_map<std::string, std::vector<AgentPeerPtr>> m_by_service;
 };
--- a/src/libflow/flowlossdetector.cpp
+++ b/src/libflow/flowlossdetector.cpp
@@ -15,6 +15,10 @@
 /// watch; one watch may fail, or be that of a reader that is being replaced.
 constexpr milliseconds kViewAge =
     2 * (StoreFollower::kWatchWait + StoreFollower::kAnswerTimeout);
+/// An agent whose upstream's service is in no configuration any more makes
+/// itself known by its reports. It may have been stopped before this process
+/// started; a planned restart takes 2 to 3 s.
+constexpr milliseconds kAgentRestartTime{5000};
 /// Number of flows without an owner at which all upstreams are assumed to have
 /// lost their flows together, provided that none of them holds an old flow. In
 /// a smaller sample, the flows of one upstream may be missing by chance.
@@ -44,7 +48,9 @@
   if (m_first_view == TimePoint{} || now - m_view_confirmed >= kViewAge) {
     return false;
   }
-  return now - m_first_view >= kDiscoveryTime || AreMostUpstreamsCold(now) ||
+  const milliseconds discovery_time =
+      m_agents.LacksUnconfiguredAgent() ? kAgentRestartTime : kDiscoveryTime;
+  return now - m_first_view >= discovery_time || AreMostUpstreamsCold(now) ||
          AreAllFlowsLost(now);
 }
 
--- a/src/libsite/sitestate.cpp
+++ b/src/libsite/sitestate.cpp
@@ -184,7 +184,11 @@
       view->zones_out.insert(zone->zone);
     }
     const auto* entry = std::get_if<UpstreamEntry>(&stored.record);
-    if (entry == nullptr || !HasNamedService(*entry)) {
+    if (entry == nullptr) {
+      continue;
+    }
+    if (!HasNamedService(*entry)) {
+      view->unconfigured_upstreams.insert(entry->address.ipv4);
       continue;
     }
     const auto [position, added] =
@@ -198,6 +202,9 @@
       position->second = *entry;
     }
   }
+  for (const auto& [ipv4, entry] : view->upstreams) {
+    view->unconfigured_upstreams.erase(ipv4);
+  }
   return view;
 }
 
--- a/src/libsite/siteview.h
+++ b/src/libsite/siteview.h
@@ -34,6 +34,10 @@
   /// the same address, one that is not missing is preferred, then the one that
   /// started last.
   std::map<std::uint32_t, UpstreamEntry> upstreams;
+  /// IPv4 addresses of entries of services that the configuration does not
+  /// have, without those in \ref upstreams. Such an upstream gets no flows, but
+  /// may hold some from an earlier configuration.
+  std::set<std::uint32_t> unconfigured_upstreams;
   std::set<std::string> zones_out;
   /// Flows that have been idle for longer may be removed.
   std::chrono::milliseconds flow_idle_timeout{0};
--- a/tests/libflow/flowownertest.cpp
+++ b/tests/libflow/flowownertest.cpp
@@ -117,6 +117,71 @@
   CHECK(site.AnswersTo(tuple) >= 2);
 }
 
+// Guards against a reset of open flows (FLOW) at an upstream whose service a
+// configuration has dropped, by a balancer that starts while its agent
+// restarts.
+TEST_CASE("a flow of a dropped service outlasts a restart of its agent") {
+  FlowSite site(2, 4);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(200));
+  FlowSite::Agent* owner = site.OwnerOf(tuple);
+  REQUIRE(owner != nullptr);
+  owner->listed = false;
+  site.view.unconfigured_upstreams = {owner->entry.address.ipv4};
+  ++site.view.configuration_version;
+  site.Publish();
+  site.Run(milliseconds(500));
+  owner->tracker->BeginStop(site.clock.Now());
+  site.Run(milliseconds(300));
+  owner->running = false;
+  site.StartBalancer(1);
+  site.Publish();
+  const auto send = [&] {
+    for (int i = 0; i < 6; ++i) {
+      site.SendRequest(1, tuple, 2);
+      site.Run(milliseconds(400));
+    }
+  };
+  send();
+  CHECK(site.resets.empty());
+  for (std::size_t index = 0; index < site.agents.size(); ++index) {
+    if (site.agents[index].get() == owner) {
+      site.StartAgent(index);
+    }
+  }
+  send();
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) >= 2);
+}
+
+// Guards against a caller that is never told that its flow is lost, because of
+// an entry of another writer: no agent runs at its address.
+TEST_CASE("an entry of an unknown service delays a reset for seconds only") {
+  FlowSite site(2, 4);
+  site.view.unconfigured_upstreams = {0x0A0200FF};
+  site.Publish();
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  SUBCASE("not at a balancer that has been running") {
+    site.Run(milliseconds(5000));
+    site.SendRequest(1, tuple, 2);
+    site.Run(milliseconds(400));
+    CHECK(site.ResetsOf(tuple) == 1);
+  }
+  SUBCASE("at a balancer that starts") {
+    site.StartBalancer(1);
+    site.Publish();
+    site.Run(milliseconds(3000));
+    site.SendRequest(1, tuple, 2);
+    site.Run(milliseconds(400));
+    CHECK(site.resets.empty());
+    site.Run(milliseconds(2000));
+    site.SendRequest(1, tuple, 2);
+    site.Run(milliseconds(400));
+    CHECK(site.ResetsOf(tuple) == 1);
+  }
+}
+
 // Guards against a reset of the open flows of a live upstream (FLOW) after an
 // entry of another service for its address.
 TEST_CASE("an entry of another service at an address resets no open flow") {
--- a/tests/libsite/storefollowertest.cpp
+++ b/tests/libsite/storefollowertest.cpp
@@ -168,6 +168,24 @@
                    SiteChange::Kind::kUnreadable) == 1);
 }
 
+// Guards against a reset of the open flows of a service that a configuration
+// has dropped (FLOW), by a balancer that starts while their agent restarts.
+TEST_CASE("the view names upstreams of services that are not configured") {
+  Site site;
+  site.AnswerNextRead(
+      Site::Answer({Site::Item("config", "3", 1), Site::Item("up/own", "1", 2),
+                    Site::Item("up/other", "1 old-name", 3),
+                    Site::Item("up/old", "2 old-name", 4)},
+                   4));
+  CHECK(site.state.View()->upstreams.size() == 1);
+  CHECK(site.state.View()->unconfigured_upstreams ==
+        std::set<std::uint32_t>{2});
+  site.AnswerNextRead(Site::Answer({Site::Removed("up/old", 5)}, 5));
+  site.clock.Advance(SiteState::kMissingGracePeriod);
+  CHECK(site.state.Expire(site.clock.Now()));
+  CHECK(site.state.View()->unconfigured_upstreams.empty());
+}
+
 TEST_CASE(
     "an unreachable store leaves the view unchanged and gets few retries") {
   Site site;
