Test that an agent takes no slots from another service's entry

An agent applies no entry of another service than its own (FlowTracker::IsOfOtherService). Of the three places, no test guarded the one in OnUpstreamEntry(): without it, a live upstream's requests wait for the slots of an entry that another writer put for its address. The test fails then, with 4 of 8 requests waiting.

--- a/tests/libflow/viewtest.cpp
+++ b/tests/libflow/viewtest.cpp
@@ -153,6 +153,30 @@
   CHECK(site.Decisions("open_returned wrong_service") == 1);
 }
 
+// Guards against requests on open flows that wait at a live upstream, because
+// an entry of another service for its address has fewer slots.
+TEST_CASE("an agent takes no slots from an entry of another service") {
+  constexpr std::uint32_t kSlots = 8;
+  FlowSite site(1, 1, kSlots);
+  for (std::uint32_t caller = 1; caller <= kSlots; ++caller) {
+    site.Open(0, FlowSite::Tuple(caller));
+  }
+  site.Run(milliseconds(500));
+  FlowSite::Agent* agent = site.agents[0].get();
+  REQUIRE(agent->tracker->running() == 0);
+  agent->entry.service = "ledger";
+  agent->entry.slots = 1;
+  site.view.services["ledger"] = {};
+  site.BumpRevision(agent);
+  site.Publish();
+  site.Run(milliseconds(500));
+  for (std::uint32_t caller = 1; caller <= kSlots; ++caller) {
+    site.SendRequest(0, FlowSite::Tuple(caller), 2);
+  }
+  CHECK(agent->tracker->running() == kSlots);
+  CHECK(agent->tracker->waiting() == 0);
+}
+
 // Guards against a reset of an open flow (FLOW) by a balancer that has not got
 // the configuration with the flow's route yet.
 TEST_CASE("an open flow of a route that a balancer does not know is kept") {
