Let the revision of an upstream rise when another entry for it goes

Cause: the view takes the upstream's own entry again, which has the older revision. Its agent ignores revisions older than it has applied, since another balancer may have an older view, and so keeps the service of the entry that is gone; the balancers go on sending it flows, which it returns.

The revision of an upstream in the view is now that of the last change of any entry for its address, removal included. The test failed before and passes.

--- a/src/libsite/sitestate.cpp
+++ b/src/libsite/sitestate.cpp
@@ -1,5 +1,6 @@
 #include "libsite/sitestate.h"
 
+#include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <set>
 #include <utility>
@@ -95,6 +96,7 @@
                        Revision revision,
                        TimePoint now) {
   stored->present = false;
+  OnAddressChanged(stored->record, revision);
   if (const auto* zone = std::get_if<ZoneOut>(&stored->record)) {
     m_listener({Kind::kZoneIn, zone->zone, "", revision});
     stored->record = std::monostate();
@@ -149,6 +151,8 @@
            revision});
     }
   }
+  OnAddressChanged(stored->record, revision);
+  OnAddressChanged(record, revision);
   stored->record = std::move(record);
   return !std::holds_alternative<std::monostate>(stored->record);
 }
@@ -168,6 +172,14 @@
          m_configuration.services.contains(entry.service);
 }
 
+void SiteState::OnAddressChanged(const SiteRecord& record, Revision revision) {
+  const auto* entry = std::get_if<UpstreamEntry>(&record);
+  if (entry != nullptr && HasNamedService(*entry)) {
+    Revision& last = m_address_revisions[entry->address.ipv4];
+    last = std::max(last, revision);
+  }
+}
+
 std::shared_ptr<const SiteView> SiteState::View() const {
   auto view = std::make_shared<SiteView>();
   view->configuration_version = m_configuration.version;
@@ -202,8 +214,12 @@
       position->second = *entry;
     }
   }
-  for (const auto& [ipv4, entry] : view->upstreams) {
+  for (auto& [ipv4, entry] : view->upstreams) {
     view->unconfigured_upstreams.erase(ipv4);
+    const auto changed = m_address_revisions.find(ipv4);
+    if (changed != m_address_revisions.end()) {
+      entry.revision = std::max(entry.revision, changed->second);
+    }
   }
   return view;
 }
--- a/src/libsite/sitestate.h
+++ b/src/libsite/sitestate.h
@@ -93,6 +93,10 @@
 
   void Install(SiteConfiguration configuration, TimePoint now);
 
+  /// Records a change of an entry of the view, and with it of what the store
+  /// has for the entry's address. Does nothing for other records.
+  void OnAddressChanged(const SiteRecord& record, Revision revision);
+
   /// Whether the configuration has the entry's service. An entry of another one
   /// names no upstream; before the first configuration every entry may do.
   bool HasNamedService(const UpstreamEntry& entry) const;
@@ -100,6 +104,10 @@
   const RecordDecoder& m_decoder;
   Listener m_listener;
   std::map<std::string, ItemState> m_items;
+  /// Revision of the last change of an entry for each IPv4 address. An agent
+  /// ignores older revisions than it has applied, also those of the entry that
+  /// is left when another one for the address goes.
+  std::map<std::uint32_t, Revision> m_address_revisions;
   SiteConfiguration m_configuration;
   /// Routes that the current configuration no longer has, and when they were
   /// dropped.
--- a/src/libsite/siteview.h
+++ b/src/libsite/siteview.h
@@ -32,7 +32,7 @@
   std::map<std::string, ServiceLimits> services;
   /// Upstreams by the IPv4 address of their instance. Of several entries with
   /// the same address, one that is not missing is preferred, then the one that
-  /// started last.
+  /// started last. The revision is that of the last change of any of these.
   std::map<std::uint32_t, UpstreamEntry> upstreams;
   /// IPv4 addresses of entries of services that the configuration does not
   /// have, without those in \ref upstreams. Such an upstream gets no flows, but
--- a/tests/libsite/storefollowertest.cpp
+++ b/tests/libsite/storefollowertest.cpp
@@ -155,6 +155,33 @@
   CHECK(site.state.View()->upstreams.at(1).id == "new");
 }
 
+// Guards against an upstream that gets no flow any more after an entry of
+// another writer for its address was there: its agent ignores entries of older
+// revisions than it has applied.
+TEST_CASE("the revision of an upstream does not fall when an entry goes") {
+  Site site;
+  site.AnswerNextRead(
+      Site::Answer({Site::Item("config", "3", 1), Site::Item("up/own", "1", 2),
+                    Site::Item("up/other", "1", 3)},
+                   3));
+  CHECK(site.state.View()->upstreams.at(1).revision == Revision{3});
+  SUBCASE("it is removed") {
+    site.AnswerNextRead(Site::Answer({Site::Removed("up/other", 5)}, 5));
+  }
+  SUBCASE("it names another address") {
+    site.AnswerNextRead(Site::Answer({Site::Item("up/other", "2", 5)}, 5));
+  }
+  SUBCASE("it names a service that is not configured") {
+    site.AnswerNextRead(
+        Site::Answer({Site::Item("up/other", "1 old-name", 5)}, 5));
+  }
+  CHECK(site.state.View()->upstreams.at(1).id == "own");
+  CHECK(site.state.View()->upstreams.at(1).revision == Revision{5});
+  site.clock.Advance(SiteState::kMissingGracePeriod);
+  site.state.Expire(site.clock.Now());
+  CHECK(site.state.View()->upstreams.at(1).revision == Revision{5});
+}
+
 // Guards against a live upstream that an entry of another writer replaces in
 // the view (FLOW, DRAIN).
 TEST_CASE("an entry whose service no configuration names hides no other") {
