Serve open flows although all services were dropped

Cause: a balancer begins to route with the first view that has upstreams. Entries of services that the configuration does not have are not among them, so that the balancer never became ready.

It begins with the first view that has such an entry as well. The agents make themselves known by their reports. The test failed before and passes.

--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -94,7 +94,8 @@
                              TimePoint now) {
   m_view = std::move(view);
   if (m_loss_detector.first_view() == TimePoint{} &&
-      m_view->configuration_version != 0 && !m_view->upstreams.empty()) {
+      m_view->configuration_version != 0 &&
+      !(m_view->upstreams.empty() && m_view->unconfigured_upstreams.empty())) {
     m_loss_detector.OnFirstView(now);
   }
   m_agents.Install(*m_view, now);
--- a/tests/libflow/flowownertest.cpp
+++ b/tests/libflow/flowownertest.cpp
@@ -155,6 +155,32 @@
   CHECK(site.AnswersTo(tuple) >= 2);
 }
 
+// Guards against open flows whose packets get lost, because a balancer that
+// starts waits for a view with upstreams.
+TEST_CASE("flows are found although all services were dropped") {
+  FlowSite site(2, 4);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(200));
+  for (const auto& agent : site.agents) {
+    agent->listed = false;
+    site.view.unconfigured_upstreams.insert(agent->entry.address.ipv4);
+  }
+  ++site.view.configuration_version;
+  site.Publish();
+  site.Run(milliseconds(500));
+  for (const std::size_t balancer : {0U, 1U}) {
+    site.StartBalancer(balancer);
+    site.Publish();
+    site.Run(milliseconds(2000));
+    CHECK(site.balancers[balancer]->router->IsServing());
+  }
+  site.SendRequest(1, tuple, 2);
+  site.Run(milliseconds(200));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) == 2);
+}
+
 // Guards against a caller that is never told that its flow is lost, because of
 // an entry of another writer: no agent runs at its address.
 TEST_CASE("an entry of an unknown service delays a reset for seconds only") {
