Ask the other balancers before a flow without an owner is reset

What callers saw: a reset of a flow that its upstream holds (FLOW), during planned work: at a balancer whose view did not list a new upstream yet, and at one that had restarted while the agent of an upstream whose entry had left the store restarted, too.

Cause: a balancer took an upstream that it did not know for one that does not exist, after fixed ages: a view of up to 3.1 s, 1 s of discovery, and at once for an upstream with a missing entry whose agent had not reported. A restart of an agent takes 2.4 s.

Change: before it resets a flow with no_owner, a balancer sends a FlowQuery to the balancers that it knows. One that knows an owner answers with the agent's address (FlowOwnerMessage, new), which then gets the query; until it has answered, the flow is not reset. One that knows none says so with FlowUnknownMessage. Balancers learn of each other from the announcements in agents' reports; one that has run for 2 s greets those that are announced, since agents do not announce it to them any more. A balancer that answers no query for 3 s is no longer asked. When all flows appear lost after an outage, nobody is asked.

Not asked for: the age limit of the view stays, and a silent agent is still a reason for resets.

--- a/src/libflow/flowownertable.h
+++ b/src/libflow/flowownertable.h
@@ -58,6 +58,10 @@
   std::vector<std::vector<AgentPeerPtr>> later_stages;
   /// When the present stage of the search began.
   TimePoint stage_began{};
+  /// Balancers that have not said yet that they know no owner, from \ref
+  /// peers_queried on; the epoch if none has been asked.
+  std::vector<SocketAddress> pending_peers;
+  TimePoint peers_queried{};
   /// Agents that have got \ref search_packet.
   std::vector<AgentPeerPtr> packet_receivers;
   /// The caller's last packet, which waits for the end of the search.
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -82,6 +82,7 @@
       m_subscriptions(static_cast<std::uint64_t>(m_settings.incarnation),
                       m_settings.zone),
       m_heartbeats(m_settings.incarnation, m_settings.zone, output),
+      m_peers(now),
       m_loss_detector(m_agents),
       m_retry_budget(kRetryShare, kMinRetriesPerSecond, now),
       m_search_bytes(static_cast<double>(m_settings.search_bytes_per_second),
@@ -624,6 +625,9 @@
     return false;
   }
   if (m_loss_detector.AreAllUpstreamsKnown(now)) {
+    if (!HavePeersConfirmedLoss(tuple, entry, now)) {
+      return false;
+    }
     Reset(tuple, entry->acknowledgment, "no_owner", nullptr, now);
   } else {
     Report(Kind::kDropped, tuple, nullptr, "no_owner_known", now);
@@ -632,6 +636,36 @@
   return true;
 }
 
+bool FlowRouter::HavePeersConfirmedLoss(const FlowTuple& tuple,
+                                        FlowEntry* entry,
+                                        TimePoint now) {
+  if (m_loss_detector.AreAllFlowsLost(now)) {
+    return true;
+  }
+  m_peers.Prune(now);
+  auto& pending = entry->pending_peers;
+  const bool is_first = entry->peers_queried == TimePoint{};
+  if (is_first) {
+    pending = m_peers.Addresses();
+  }
+  std::erase_if(pending, [&](const SocketAddress& peer) {
+    return !m_peers.Contains(peer);
+  });
+  if (pending.empty()) {
+    return true;
+  }
+  if ((is_first || now - entry->peers_queried >= kQueryTimeout) &&
+      m_search_bytes.TryTake(
+          now, static_cast<double>(pending.size() * kQueryBytes))) {
+    entry->peers_queried = now;
+    for (const SocketAddress& peer : pending) {
+      m_peers.OnQueried(peer, now);
+      m_output->SendToNode(peer, FlowQuery{tuple, entry->acknowledgment});
+    }
+  }
+  return false;
+}
+
 void FlowRouter::Deliver(const FlowEntry& entry,
                          std::span<const std::uint8_t> datagram,
                          TimePoint now) {
@@ -686,6 +720,16 @@
     OnFlowUnknown(source, *unknown, now);
   } else if (const auto* handover = std::get_if<FlowHandover>(&message)) {
     OnHandover(source, *handover, now);
+  } else if (const auto* query = std::get_if<FlowQuery>(&message)) {
+    OnPeerQuery(source, *query, now);
+  } else if (const auto* owner = std::get_if<FlowOwnerMessage>(&message)) {
+    OnFlowOwner(source, *owner, now);
+  } else if (const auto* greeting = std::get_if<BalancerHeartbeat>(&message)) {
+    if (greeting->incarnation == m_settings.incarnation) {
+      m_peers.SetSelf(source);
+    } else {
+      m_peers.OnMessage(source);
+    }
   } else {
     Report(Kind::kDropped, {}, nullptr, "unexpected_message", now);
   }
@@ -722,8 +766,12 @@
                                TimePoint now) {
   const FlowTuple tuple = message.tuple;
   const AgentPeerPtr agent = m_agents.Find(source);
+  if (!agent) {
+    OnPeerWithoutOwner(source, tuple, now);
+    return;
+  }
   FlowEntry* entry = m_flows.Find(tuple);
-  if (!agent || entry == nullptr) {
+  if (entry == nullptr) {
     return;
   }
   Report(Kind::kUnknownThere, tuple, agent.get(),
@@ -750,6 +798,60 @@
   }
 }
 
+void FlowRouter::OnPeerQuery(const SocketAddress& source,
+                             const FlowQuery& query,
+                             TimePoint now) {
+  m_peers.OnMessage(source);
+  const FlowEntry* entry = m_flows.Find(query.tuple);
+  if (entry != nullptr && entry->state != State::kSearching && entry->owner &&
+      !IsLost(*entry->owner, now)) {
+    m_output->SendToNode(
+        source, FlowOwnerMessage{query.tuple, entry->owner->address()});
+  } else {
+    m_output->SendToNode(source, FlowUnknownMessage{query.tuple});
+  }
+}
+
+void FlowRouter::OnPeerWithoutOwner(const SocketAddress& source,
+                                    const FlowTuple& tuple,
+                                    TimePoint now) {
+  if (!m_peers.Contains(source)) {
+    return;
+  }
+  m_peers.OnMessage(source);
+  FlowEntry* entry = m_flows.Find(tuple);
+  if (entry != nullptr && entry->state == State::kSearching &&
+      std::erase(entry->pending_peers, source) > 0) {
+    TryEndSearch(tuple, entry, now);
+  }
+}
+
+void FlowRouter::OnFlowOwner(const SocketAddress& source,
+                             const FlowOwnerMessage& message,
+                             TimePoint now) {
+  const FlowTuple tuple = message.tuple;
+  m_peers.OnMessage(source);
+  FlowEntry* entry = m_flows.Find(tuple);
+  if (entry == nullptr || entry->state != State::kSearching) {
+    return;
+  }
+  const AgentPeerPtr agent = m_agents.Find(message.agent);
+  if (!agent || !agent->last_report()) {
+    // The agent introduces itself with its answer. Until then the search waits.
+    m_output->SendToNode(message.agent,
+                         FlowQuery{tuple, entry->acknowledgment});
+    return;
+  }
+  // The agent itself knows better than another balancer.
+  const auto& pending = entry->pending_agents;
+  const bool has_answered =
+      entry->later_stages.empty() &&
+      std::find(pending.begin(), pending.end(), agent) == pending.end();
+  if (has_answered || IsLost(*agent, now)) {
+    OnPeerWithoutOwner(source, tuple, now);
+  }
+}
+
 void FlowRouter::OnStatus(const SocketAddress& source,
                           const AgentStatus& status,
                           TimePoint now) {
@@ -791,6 +893,11 @@
   }
   for (const SocketAddress& address : status.new_balancers) {
     m_heartbeats.OnBalancerIntroduced(address, now);
+    if (m_peers.OnAnnounced(address, now)) {
+      BalancerHeartbeat greeting;
+      greeting.incarnation = m_settings.incarnation;
+      m_output->SendToNode(address, greeting);
+    }
   }
   ApplyReportedFlows(agent, status.opened, now);
   ProcessPendingPackets(now);
@@ -881,6 +988,8 @@
     entry->pending_agents.clear();
     entry->unsure_agents.clear();
     entry->later_stages.clear();
+    entry->pending_peers.clear();
+    entry->peers_queried = {};
     entry->is_deferred = false;
     const auto packet = std::exchange(entry->search_packet, {});
     const auto receivers = std::exchange(entry->packet_receivers, {});
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -16,6 +16,7 @@
 #include "libflow/flowownertable.h"
 #include "libflow/handoverstore.h"
 #include "libflow/heartbeatscheduler.h"
+#include "libflow/peerbalancertable.h"
 #include "libflow/pendingpacketqueue.h"
 
 namespace fireflytrestle {
@@ -165,6 +166,12 @@
   /// Ends a search that no agent is left to answer, or begins its next stage.
   /// Returns whether it ended and the flow was removed.
   bool TryEndSearch(const FlowTuple& tuple, FlowEntry* entry, TimePoint now);
+  /// Whether no other balancer knows an agent that may hold the flow and that
+  /// has not answered here; asks them. A flow at an upstream that this balancer
+  /// has not heard of was placed by another one.
+  bool HavePeersConfirmedLoss(const FlowTuple& tuple,
+                              FlowEntry* entry,
+                              TimePoint now);
   /// Removes a flow whose search the bandwidth limit does not allow.
   void AbandonSearch(const FlowTuple& tuple,
                      std::uint32_t acknowledgment,
@@ -210,6 +217,17 @@
   void OnFlowUnknown(const SocketAddress& source,
                      const FlowUnknownMessage& message,
                      TimePoint now);
+  /// Answers another balancer that searches for the owner of a flow.
+  void OnPeerQuery(const SocketAddress& source,
+                   const FlowQuery& query,
+                   TimePoint now);
+  void OnFlowOwner(const SocketAddress& source,
+                   const FlowOwnerMessage& message,
+                   TimePoint now);
+  /// Ends a search for which no other balancer is left to answer.
+  void OnPeerWithoutOwner(const SocketAddress& source,
+                          const FlowTuple& tuple,
+                          TimePoint now);
   /// Resets the open idempotent flows of the agent whose packets came through
   /// this balancer, and ends searches that no other agent is left to answer.
   void OnAgentSilent(const AgentPeerPtr& agent, TimePoint now);
@@ -226,6 +244,7 @@
   AgentTable m_agents;
   AgentSubscriptions m_subscriptions;
   HeartbeatScheduler m_heartbeats;
+  PeerBalancerTable m_peers;
   FlowLossDetector m_loss_detector;
   FlowOwnerTable m_flows;
   HandoverStore m_handovers;
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -59,7 +59,8 @@
 };
 
 /// Balancer to agent: asks whether the upstream holds a flow. The agent answers
-/// with a report of the flow, or with FlowUnknownMessage.
+/// with a report of the flow, or with FlowUnknownMessage. Balancer to balancer:
+/// asks who holds it; the answer is FlowOwnerMessage or FlowUnknownMessage.
 struct FlowQuery {
   FlowTuple tuple;
   /// Acknowledgment number of the caller's packet, which tells the flow from
@@ -69,11 +70,18 @@
   bool is_reset = false;
 };
 
+/// Balancer to balancer: the agent that holds a flow according to the sender.
+struct FlowOwnerMessage {
+  FlowTuple tuple;
+  SocketAddress agent;
+};
+
 /// Balancer to agent: the reports of the agent are overdue. The agent answers
 /// with a report at once.
 struct LivenessQuery {};
 
 /// Agent to balancer: the upstream does not hold the flow of a packet or query.
+/// Balancer to balancer: the sender knows no agent that holds it.
 struct FlowUnknownMessage {
   FlowTuple tuple;
   /// False if the agent does not know the flow, but its upstream may hold it
@@ -85,7 +93,7 @@
 };
 
 /// Balancer to agent: liveness, and the entry of the agent's upstream in the
-/// balancer's view.
+/// balancer's view. Balancer to balancer, without an entry: the sender exists.
 struct BalancerHeartbeat {
   Incarnation incarnation{};
   /// Revision of the upstream's entry from which the following fields come; 0
@@ -195,7 +203,8 @@
                                  ReportRequest,
                                  FlowQuery,
                                  FlowHandover,
-                                 LivenessQuery>;
+                                 LivenessQuery,
+                                 FlowOwnerMessage>;
 
 }  // namespace fireflytrestle
 
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -23,6 +23,7 @@
   kFlowQuery,
   kFlowHandover,
   kLivenessQuery,
+  kFlowOwner,
   kCount,
 };
 
@@ -36,6 +37,7 @@
 constexpr std::uint32_t kFlowQueryFields = 7;
 constexpr std::uint32_t kFlowHandoverFields = 8;
 constexpr std::uint32_t kLivenessQueryFields = 1;
+constexpr std::uint32_t kFlowOwnerFields = 7;
 constexpr std::uint32_t kHeartbeatFields = 9;
 constexpr std::uint32_t kStatusFields = 10;
 /// The same for a status with a report interval.
@@ -212,6 +214,13 @@
   WriteHead(writer, Kind::kLivenessQuery, kLivenessQueryFields);
 }
 
+void Write(MsgpackWriter* writer, const FlowOwnerMessage& message) {
+  WriteHead(writer, Kind::kFlowOwner, kFlowOwnerFields);
+  WriteTuple(writer, message.tuple);
+  writer->WriteUint(message.agent.ipv4);
+  writer->WriteUint(message.agent.port);
+}
+
 void Write(MsgpackWriter* writer, const AgentStatus& message) {
   WriteHead(writer, Kind::kAgentStatus,
             (message.report_interval ? kNumberedStatusFields : kStatusFields) +
@@ -363,6 +372,14 @@
   return {};
 }
 
+FlowOwnerMessage ReadFlowOwner(MsgpackReader* reader) {
+  FlowOwnerMessage message;
+  message.tuple = ReadTuple(reader);
+  reader->Read(&message.agent.ipv4, 0, kMax32);
+  reader->Read(&message.agent.port, 0, kMax16);
+  return message;
+}
+
 AgentStatus ReadStatus(MsgpackReader* reader) {
   AgentStatus message;
   reader->Read(&message.incarnation, 0, kMax64);
@@ -468,6 +485,7 @@
     {Kind::kFlowQuery, kFlowQueryFields, ReadAs<ReadFlowQuery>},
     {Kind::kFlowHandover, kFlowHandoverFields, ReadAs<ReadFlowHandover>},
     {Kind::kLivenessQuery, kLivenessQueryFields, ReadAs<ReadLivenessQuery>},
+    {Kind::kFlowOwner, kFlowOwnerFields, ReadAs<ReadFlowOwner>},
 };
 
 }  // namespace
--- /dev/null
+++ b/src/libflow/peerbalancertable.cpp
@@ -0,0 +1,72 @@
+#include "libflow/peerbalancertable.h"
+
+namespace fireflytrestle {
+
+namespace {
+
+/// Agents announce a balancer for 3 s in every report; one greeting may be
+/// lost.
+constexpr std::chrono::milliseconds kGreetingInterval{1000};
+/// A balancer whose announcements began when this one was younger than this
+/// hears this one announced for 1 s at least. Without this limit, balancers
+/// that start together would send each other greetings.
+constexpr std::chrono::milliseconds kMinAge{2000};
+
+}  // namespace
+
+bool PeerBalancerTable::OnAnnounced(const SocketAddress& address,
+                                    TimePoint now) {
+  if (address == m_self) {
+    return false;
+  }
+  Peer& peer = m_peers[address];
+  if (peer.last_announced == TimePoint{} ||
+      now - peer.last_announced >= kGreetingInterval) {
+    peer.announced_since = now;
+  }
+  peer.last_announced = now;
+  const bool is_due =
+      peer.announced_since - m_started >= kMinAge &&
+      (peer.greeted == TimePoint{} || now - peer.greeted >= kGreetingInterval);
+  if (is_due) {
+    peer.greeted = now;
+  }
+  return is_due;
+}
+
+void PeerBalancerTable::OnMessage(const SocketAddress& address) {
+  if (address != m_self) {
+    m_peers[address].unanswered_since = {};
+  }
+}
+
+void PeerBalancerTable::SetSelf(const SocketAddress& address) {
+  m_self = address;
+  m_peers.erase(address);
+}
+
+void PeerBalancerTable::OnQueried(const SocketAddress& address, TimePoint now) {
+  const auto position = m_peers.find(address);
+  if (position != m_peers.end() &&
+      position->second.unanswered_since == TimePoint{}) {
+    position->second.unanswered_since = now;
+  }
+}
+
+void PeerBalancerTable::Prune(TimePoint now) {
+  std::erase_if(m_peers, [&](const auto& item) {
+    const TimePoint since = item.second.unanswered_since;
+    return since != TimePoint{} && now - since >= kAnswerTimeout;
+  });
+}
+
+std::vector<SocketAddress> PeerBalancerTable::Addresses() const {
+  std::vector<SocketAddress> addresses;
+  addresses.reserve(m_peers.size());
+  for (const auto& [address, peer] : m_peers) {
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+}  // namespace fireflytrestle
--- /dev/null
+++ b/src/libflow/peerbalancertable.h
@@ -0,0 +1,66 @@
+#ifndef FIREFLYTRESTLE_LIBFLOW_PEERBALANCERTABLE_H_
+#define FIREFLYTRESTLE_LIBFLOW_PEERBALANCERTABLE_H_
+
+#include <chrono>
+#include <map>
+#include <vector>
+
+#include "libbase/clock.h"
+#include "libbase/socketaddress.h"
+
+namespace fireflytrestle {
+
+/// \brief The other balancers that a balancer knows: those that agents announce
+/// and those that sent it a message. They may know the owner of a flow at an
+/// upstream that this balancer has not heard of.
+class PeerBalancerTable {
+ public:
+  /// A balancer that has answered no query for this long has ended, and what it
+  /// knew is lost with it. A paused one answers within a few seconds.
+  static constexpr std::chrono::milliseconds kAnswerTimeout{3000};
+
+  explicit PeerBalancerTable(TimePoint now) : m_started(now) {}
+
+  /// Handles an announcement. Returns whether the balancer needs a greeting: it
+  /// has started or restarted, and may not know this one. One that started at
+  /// about the same time hears this one announced, too.
+  bool OnAnnounced(const SocketAddress& address, TimePoint now);
+
+  /// Records a message from a balancer.
+  void OnMessage(const SocketAddress& address);
+
+  /// Records the address of this balancer, which agents announce, too.
+  void SetSelf(const SocketAddress& address);
+
+  /// Records a query to a balancer.
+  void OnQueried(const SocketAddress& address, TimePoint now);
+
+  bool Contains(const SocketAddress& address) const {
+    return m_peers.contains(address);
+  }
+
+  /// Removes the balancers that no longer answer.
+  void Prune(TimePoint now);
+
+  std::vector<SocketAddress> Addresses() const;
+
+ private:
+  struct Peer {
+    /// First and last announcement of the peer's present run.
+    TimePoint announced_since{};
+    TimePoint last_announced{};
+    /// When the last greeting was sent.
+    TimePoint greeted{};
+    /// First query since the last message; the epoch if there is none.
+    TimePoint unanswered_since{};
+  };
+
+  TimePoint m_started;
+  std::map<SocketAddress, Peer> m_peers;
+  /// The unspecified address before it is known.
+  SocketAddress m_self;
+};
+
+}  // namespace fireflytrestle
+
+#endif  // FIREFLYTRESTLE_LIBFLOW_PEERBALANCERTABLE_H_
--- a/tests/libflow/nodemessagecodectest.cpp
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -134,6 +134,11 @@
   const auto liveness = DecodeNodeMessage(Encode(LivenessQuery{}));
   REQUIRE(liveness);
   CHECK(std::holds_alternative<LivenessQuery>(*liveness));
+  const SocketAddress agent{0xFFFFFFFF, 0xFFFF};
+  const auto owner = DecodeNodeMessage(Encode(FlowOwnerMessage{tuple, agent}));
+  REQUIRE(owner);
+  CHECK(std::get<FlowOwnerMessage>(*owner).tuple == tuple);
+  CHECK(std::get<FlowOwnerMessage>(*owner).agent == agent);
   for (const bool is_certain : {false, true}) {
     for (const bool has_packet : {false, true}) {
       const auto answer = DecodeNodeMessage(
@@ -213,6 +218,7 @@
       FlowUnknownMessage{{}, false},
       FlowQuery{},
       LivenessQuery{},
+      FlowOwnerMessage{},
       FlowHandover{"counter", Incarnation{1}, 2, 0, 1, true, {{}, {}}},
       heartbeat,
       Status(2),
--- a/tests/libflow/plannedworktest.cpp
+++ b/tests/libflow/plannedworktest.cpp
@@ -1022,6 +1022,30 @@
   CHECK(site.resets.empty());
 }
 
+// Guards against FLOW (a): a balancer that has restarted does not learn of one
+// that agents no longer announce, and asks nobody who holds a flow of an
+// upstream that the store does not list.
+TEST_CASE("a restarted balancer asks one that has run for long") {
+  FlowSite site(2, 4);
+  site.Run(seconds(10));
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  FlowSite::Agent* owner = OpenFlow(&site, tuple);
+  REQUIRE(owner != nullptr);
+  Unlist(&site, owner);
+  StopAgents(&site, {owner});
+  site.StartBalancer(1);
+  site.Publish();
+  site.Run(milliseconds(1500));
+  site.SendRequest(1, tuple, 2);
+  site.Run(milliseconds(500));
+  site.StartAgent(IndexOf(site, owner));
+  site.Run(milliseconds(300));
+  site.SendRequest(1, tuple, 2);
+  site.Run(milliseconds(300));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) >= 2);
+}
+
 // Guards against FLOW (a): a balancer gets no report of the short run of an
 // agent that is restarted again at once, and takes it for lost 6 s after the
 // first stop.
