Ask an agent that the view adds in the searches that have begun

Cause: a search asks the agents that are known when it begins, and those of which a report is the first sign. One that a later view lists first is known by the time of its report, and was never asked. It also counted as having answered when another balancer named it as the owner.

Change: AgentTable::Install() returns the agents that it adds, and these are asked in all searches, which then wait for them.

--- a/src/libflow/agenttable.cpp
+++ b/src/libflow/agenttable.cpp
@@ -13,7 +13,9 @@
 
 }  // namespace
 
-void AgentTable::Install(const SiteView& view, TimePoint now) {
+std::vector<AgentPeerPtr> AgentTable::Install(const SiteView& view,
+                                              TimePoint now) {
+  std::vector<AgentPeerPtr> added;
   for (auto& [address, agent] : m_agents) {
     if (!view.upstreams.contains(address.ipv4)) {
       agent->OnView(nullptr, view, now);
@@ -24,11 +26,13 @@
     AgentPeerPtr& agent = m_agents[address];
     if (!agent) {
       agent = std::make_shared<AgentPeer>(address);
+      added.push_back(agent);
     }
     agent->OnView(&entry, view, now);
   }
   Prune(now);
   RebuildServiceIndex();
+  return added;
 }
 
 AgentPeerPtr AgentTable::OnStatus(const SocketAddress& address,
--- a/src/libflow/agenttable.h
+++ b/src/libflow/agenttable.h
@@ -20,7 +20,8 @@
   /// \p agent_port is the port of every agent.
   explicit AgentTable(std::uint16_t agent_port) : m_agent_port(agent_port) {}
 
-  void Install(const SiteView& view, TimePoint now);
+  /// Returns the agents that were not known before.
+  std::vector<AgentPeerPtr> Install(const SiteView& view, TimePoint now);
 
   /// Applies the report of an agent, which the view need not list. Returns the
   /// agent.
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -98,9 +98,12 @@
       m_view->configuration_version != 0 && !m_view->upstreams.empty()) {
     m_loss_detector.OnFirstView(now);
   }
-  m_agents.Install(*m_view, now);
+  const std::vector<AgentPeerPtr> added = m_agents.Install(*m_view, now);
   m_subscriptions.Update(m_agents, now);
   m_heartbeats.OnViewChanged(m_agents, now);
+  for (const AgentPeerPtr& agent : added) {
+    AskInSearches(agent, now);
+  }
 }
 
 bool FlowRouter::IsServing() const {
--- a/tests/libflow/plannedworktest.cpp
+++ b/tests/libflow/plannedworktest.cpp
@@ -951,6 +951,43 @@
   CHECK(site.resets.empty());
 }
 
+// Guards against FLOW (a): a search that began before the view listed a new
+// upstream ends without an answer of its agent.
+TEST_CASE("a search waits for an agent that the view adds meanwhile") {
+  // Agents report flows to the balancers of one zone only.
+  FlowSite site(2, 4, 3, {2, 2});
+  for (const auto& agent : site.agents) {
+    agent->entry.draining = true;
+    site.BumpRevision(agent.get());
+  }
+  site.Publish();
+  FlowSite::Agent& added = site.AddAgent();
+  const SocketAddress second = site.balancers[1]->address;
+  site.balancers[1]->running = false;
+  site.Publish();
+  site.balancers[1]->running = true;
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  REQUIRE(site.OwnerOf(tuple) == &added);
+  // The new agent hears the first messages of the balancer only later.
+  site.delay = [&](const SocketAddress& from, const SocketAddress& to) {
+    return from == second && to == added.address ? milliseconds(300)
+                                                 : milliseconds(0);
+  };
+  // One agent is slow, so that the search lasts until the view arrives.
+  site.agents[0]->paused = true;
+  site.SendRequest(1, tuple, 2);
+  site.Publish();
+  site.agents[0]->paused = false;
+  // The other balancer has ended.
+  site.balancers[0]->running = false;
+  site.Run(PeerBalancerTable::kAnswerTimeout + milliseconds(100));
+  site.SendRequest(1, tuple, 2);
+  site.Run(milliseconds(400));
+  CHECK(site.resets.empty());
+  CHECK(site.AnswersTo(tuple) >= 2);
+}
+
 // Guards against FLOW (a): a balancer that has restarted resets a flow of an
 // upstream that the store does not list, while its agent restarts as planned.
 TEST_CASE("a flow of an unlisted upstream outlasts a restart of its agent") {
