Ask other balancers whether an overdue agent is about to stop

What callers saw: resets of open flows (FLOW, agent_silent) 350 ms after a planned stop of an agent whose notices to one balancer were all lost.

Cause: the agent sends four notices within 150 ms and ends. A balancer that gets none cannot tell the stop from a crash, and asked nobody else.

Change: at each tick at which the reports of agents are overdue, before it counts them as silent, a balancer names them to three others in turn (OverdueAgents, new). One that has got the notice of an agent's present run says so (StoppingAgents, new), and the agent then has the 6 s of a planned stop. Nobody answers for a crashed agent, so that its flows are reset as soon as before. The number of messages does not depend on the number of agents, up to 64 overdue ones.

Without the comparison of runs the new test of a crash after an earlier stop fails.

Upgrade: balancers of an earlier version count both messages as unreadable.

--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -95,6 +95,15 @@
   }
 }
 
+bool AgentPeer::OnStopNotice(Incarnation incarnation) {
+  // The next run of the agent has ended the stop.
+  if (incarnation != m_incarnation || m_phase != AgentPhase::kServing) {
+    return false;
+  }
+  m_phase = AgentPhase::kStopping;
+  return true;
+}
+
 void AgentPeer::RequestReports(milliseconds interval, TimePoint now) {
   if (interval != m_wanted_interval) {
     m_wanted_interval = interval;
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -31,6 +31,9 @@
   /// same run of the agent or in the one before.
   bool IsStale(const AgentStatus& status) const;
   void OnStatus(const AgentStatus& status, TimePoint now);
+  /// Handles the notice of a planned stop that another balancer has received
+  /// from the run \p incarnation. Returns whether it was not known here.
+  bool OnStopNotice(Incarnation incarnation);
   /// Requests regular reports from the agent, or cancels the request. Whether
   /// an agent is silent is known only while reports are wanted.
   void RequestReports(std::chrono::milliseconds interval, TimePoint now);
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -54,6 +54,9 @@
 constexpr std::size_t kMaxStrayProbes = 2;
 /// Maximum number of agents that one SYN is sent to.
 constexpr std::uint8_t kMaxPlacements = 4;
+/// Number of balancers that are asked about overdue agents at each tick. An
+/// agent is asked twice before it counts as silent, so that six hear of it.
+constexpr std::size_t kMaxPeersAboutOverdue = 3;
 /// Limit on repeated placements: 30 % of the new flows, and a constant minimum
 /// rate.
 constexpr double kRetryShare = 0.3;
@@ -727,6 +730,10 @@
     OnPeerQuery(source, *query, now);
   } else if (const auto* owner = std::get_if<FlowOwnerMessage>(&message)) {
     OnFlowOwner(source, *owner, now);
+  } else if (const auto* overdue = std::get_if<OverdueAgents>(&message)) {
+    OnPeerOverdue(source, *overdue);
+  } else if (const auto* stopping = std::get_if<StoppingAgents>(&message)) {
+    OnStoppingAgents(*stopping, now);
   } else if (const auto* greeting = std::get_if<BalancerHeartbeat>(&message)) {
     if (greeting->incarnation == m_settings.incarnation) {
       m_peers.SetSelf(source);
@@ -855,6 +862,47 @@
   }
 }
 
+void FlowRouter::AskPeersAboutOverdue() {
+  OverdueAgents message;
+  for (const AgentPeerPtr& agent : m_failure_detector.overdue()) {
+    if (message.agents.size() < kMaxOverdueAgents &&
+        agent->phase() == AgentPhase::kServing) {
+      message.agents.push_back(agent->address());
+    }
+  }
+  if (message.agents.empty()) {
+    return;
+  }
+  for (const SocketAddress& peer : m_peers.Next(kMaxPeersAboutOverdue)) {
+    m_output->SendToNode(peer, message);
+  }
+}
+
+void FlowRouter::OnPeerOverdue(const SocketAddress& source,
+                               const OverdueAgents& message) {
+  m_peers.OnMessage(source);
+  StoppingAgents answer;
+  for (const SocketAddress& address : message.agents) {
+    const AgentPeerPtr agent = m_agents.Find(address);
+    if (agent && agent->phase() == AgentPhase::kStopping) {
+      answer.agents.push_back({address, agent->incarnation()});
+    }
+  }
+  if (!answer.agents.empty()) {
+    m_output->SendToNode(source, answer);
+  }
+}
+
+void FlowRouter::OnStoppingAgents(const StoppingAgents& message,
+                                  TimePoint now) {
+  for (const StoppingAgent& stopping : message.agents) {
+    const AgentPeerPtr agent = m_agents.Find(stopping.address);
+    if (agent && agent->OnStopNotice(stopping.incarnation)) {
+      Report(Kind::kPeerPhase, {}, agent.get(), ToString(agent->phase()), now);
+    }
+  }
+}
+
 void FlowRouter::OnStatus(const SocketAddress& source,
                           const AgentStatus& status,
                           TimePoint now) {
@@ -1035,6 +1083,7 @@
     }
     m_output->SendToNode(agent->address(), LivenessQuery{});
   }
+  AskPeersAboutOverdue();
   AdvanceSearches(now);
   EndDeferredSearches(now);
   m_subscriptions.OnTick(m_agents, now);
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -224,6 +224,11 @@
   void OnFlowOwner(const SocketAddress& source,
                    const FlowOwnerMessage& message,
                    TimePoint now);
+  /// Asks other balancers whether the agents whose reports are overdue are
+  /// about to stop: the notices may have been lost on the way to this one only.
+  void AskPeersAboutOverdue();
+  void OnPeerOverdue(const SocketAddress& source, const OverdueAgents& message);
+  void OnStoppingAgents(const StoppingAgents& message, TimePoint now);
   /// Ends a search for which no other balancer is left to answer.
   void OnPeerWithoutOwner(const SocketAddress& source,
                           const FlowTuple& tuple,
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -76,6 +76,24 @@
   SocketAddress agent;
 };
 
+/// Balancer to balancer: the reports of these agents are overdue at the sender.
+/// Answered with StoppingAgents if one of them is about to stop.
+struct OverdueAgents {
+  std::vector<SocketAddress> agents;
+};
+
+/// An agent that has announced that it is about to stop.
+struct StoppingAgent {
+  SocketAddress address;
+  Incarnation incarnation{};
+};
+
+/// Balancer to balancer: agents whose notice of a planned stop the sender has
+/// received.
+struct StoppingAgents {
+  std::vector<StoppingAgent> agents;
+};
+
 /// Balancer to agent: the reports of the agent are overdue. The agent answers
 /// with a report at once.
 struct LivenessQuery {};
@@ -204,7 +222,9 @@
                                  FlowQuery,
                                  FlowHandover,
                                  LivenessQuery,
-                                 FlowOwnerMessage>;
+                                 FlowOwnerMessage,
+                                 OverdueAgents,
+                                 StoppingAgents>;
 
 }  // namespace fireflytrestle
 
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -24,6 +24,8 @@
   kFlowHandover,
   kLivenessQuery,
   kFlowOwner,
+  kOverdueAgents,
+  kStoppingAgents,
   kCount,
 };
 
@@ -38,6 +40,9 @@
 constexpr std::uint32_t kFlowHandoverFields = 8;
 constexpr std::uint32_t kLivenessQueryFields = 1;
 constexpr std::uint32_t kFlowOwnerFields = 7;
+constexpr std::uint32_t kOverdueAgentsFields = 2;
+constexpr std::uint32_t kStoppingAgentsFields = 2;
+constexpr std::uint32_t kStoppingAgentFields = 3;
 constexpr std::uint32_t kHeartbeatFields = 9;
 constexpr std::uint32_t kStatusFields = 10;
 /// The same for a status with a report interval.
@@ -221,6 +226,22 @@
   writer->WriteUint(message.agent.port);
 }
 
+void Write(MsgpackWriter* writer, const OverdueAgents& message) {
+  WriteHead(writer, Kind::kOverdueAgents, kOverdueAgentsFields);
+  WriteAddresses(writer, message.agents);
+}
+
+void Write(MsgpackWriter* writer, const StoppingAgents& message) {
+  WriteHead(writer, Kind::kStoppingAgents, kStoppingAgentsFields);
+  writer->WriteArray(static_cast<std::uint32_t>(message.agents.size()));
+  for (const StoppingAgent& agent : message.agents) {
+    writer->WriteArray(kStoppingAgentFields);
+    writer->WriteUint(agent.address.ipv4);
+    writer->WriteUint(agent.address.port);
+    writer->WriteUint(static_cast<std::uint64_t>(agent.incarnation));
+  }
+}
+
 void Write(MsgpackWriter* writer, const AgentStatus& message) {
   WriteHead(writer, Kind::kAgentStatus,
             (message.report_interval ? kNumberedStatusFields : kStatusFields) +
@@ -380,6 +401,27 @@
   return message;
 }
 
+OverdueAgents ReadOverdueAgents(MsgpackReader* reader) {
+  return {ReadAddresses(reader, kMaxOverdueAgents)};
+}
+
+StoppingAgents ReadStoppingAgents(MsgpackReader* reader) {
+  StoppingAgents message;
+  const std::uint32_t count = reader->ReadArray();
+  if (count > kMaxOverdueAgents) {
+    reader->Fail(WireError::kOutOfRange);
+    return message;
+  }
+  for (std::uint32_t i = 0; i < count && reader->ok(); ++i) {
+    StoppingAgent& agent = message.agents.emplace_back();
+    reader->ReadArrayOf(kStoppingAgentFields);
+    reader->Read(&agent.address.ipv4, 0, kMax32);
+    reader->Read(&agent.address.port, 0, kMax16);
+    reader->Read(&agent.incarnation, 0, kMax64);
+  }
+  return message;
+}
+
 AgentStatus ReadStatus(MsgpackReader* reader) {
   AgentStatus message;
   reader->Read(&message.incarnation, 0, kMax64);
@@ -486,6 +528,8 @@
     {Kind::kFlowHandover, kFlowHandoverFields, ReadAs<ReadFlowHandover>},
     {Kind::kLivenessQuery, kLivenessQueryFields, ReadAs<ReadLivenessQuery>},
     {Kind::kFlowOwner, kFlowOwnerFields, ReadAs<ReadFlowOwner>},
+    {Kind::kOverdueAgents, kOverdueAgentsFields, ReadAs<ReadOverdueAgents>},
+    {Kind::kStoppingAgents, kStoppingAgentsFields, ReadAs<ReadStoppingAgents>},
 };
 
 }  // namespace
--- a/src/libflow/nodemessagecodec.h
+++ b/src/libflow/nodemessagecodec.h
@@ -15,6 +15,9 @@
 inline constexpr std::size_t kMaxFlowsPerStatus = 50;
 /// Maximum number of balancers that one message announces.
 inline constexpr std::size_t kMaxNewBalancers = 8;
+/// Maximum number of agents in one message about overdue or stopping agents: at
+/// 18 bytes each they fit into a datagram of 1,400 bytes.
+inline constexpr std::size_t kMaxOverdueAgents = 64;
 
 /// Writes \p message to \p out without allocating. Returns its size, 0 if it
 /// does not fit.
--- a/src/libflow/peerbalancertable.cpp
+++ b/src/libflow/peerbalancertable.cpp
@@ -1,5 +1,7 @@
 #include "libflow/peerbalancertable.h"
 
+#include <algorithm>
+
 namespace fireflytrestle {
 
 namespace {
@@ -69,4 +71,18 @@
   return addresses;
 }
 
+std::vector<SocketAddress> PeerBalancerTable::Next(std::size_t count) {
+  std::vector<SocketAddress> selected;
+  auto next = m_peers.upper_bound(m_last_selected);
+  while (selected.size() < std::min(count, m_peers.size())) {
+    if (next == m_peers.end()) {
+      next = m_peers.begin();
+    }
+    m_last_selected = next->first;
+    selected.push_back(next->first);
+    ++next;
+  }
+  return selected;
+}
+
 }  // namespace fireflytrestle
--- a/src/libflow/peerbalancertable.h
+++ b/src/libflow/peerbalancertable.h
@@ -2,6 +2,7 @@
 #define FIREFLYTRESTLE_LIBFLOW_PEERBALANCERTABLE_H_
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <vector>
 
@@ -44,6 +45,9 @@
 
   std::vector<SocketAddress> Addresses() const;
 
+  /// Returns the next balancers in turn, up to \p count of them.
+  std::vector<SocketAddress> Next(std::size_t count);
+
  private:
   struct Peer {
     /// First and last announcement of the peer's present run.
@@ -59,6 +63,8 @@
   std::map<SocketAddress, Peer> m_peers;
   /// The unspecified address before it is known.
   SocketAddress m_self;
+  /// Last balancer that Next() returned.
+  SocketAddress m_last_selected;
 };
 
 }  // namespace fireflytrestle
--- a/tests/libflow/agentfailuretest.cpp
+++ b/tests/libflow/agentfailuretest.cpp
@@ -391,6 +391,32 @@
   CHECK(site.resets.empty());
 }
 
+// Guards against callers that learn of a crash too late, because a balancer
+// that has not heard of the agent's next run says that the agent is stopping.
+TEST_CASE("the notice of an earlier stop does not hide a crash") {
+  FlowSite site(2, 3);
+  FlowSite::Agent* owner = site.agents[0].get();
+  owner->tracker->BeginStop(site.clock.Now());
+  site.Run(FlowTracker::kNoticeTime);
+  owner->running = false;
+  site.is_lost = [&](const SocketAddress& from, const SocketAddress& to) {
+    return from == owner->address && to == site.balancers[1]->address;
+  };
+  site.Run(milliseconds(2000));
+  site.StartAgent(0);
+  site.Run(milliseconds(500));
+  FlowTuple tuple;
+  for (std::uint32_t caller = 1; site.OwnerOf(tuple) != owner; ++caller) {
+    REQUIRE(caller < 100);
+    tuple = FlowSite::Tuple(caller);
+    site.Open(0, tuple);
+  }
+  site.Run(milliseconds(300));
+  owner->running = false;
+  site.Run(milliseconds(450));
+  CHECK(site.ResetsOf(tuple) == 1);
+}
+
 // Guards against resets of open flows (FLOW) of an agent that is restarted as
 // planned, by a balancer that asks it for reports only then.
 TEST_CASE("balancers that want no reports learn that an agent stops") {
--- a/tests/libflow/nodemessagecodectest.cpp
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -139,6 +139,20 @@
   REQUIRE(owner);
   CHECK(std::get<FlowOwnerMessage>(*owner).tuple == tuple);
   CHECK(std::get<FlowOwnerMessage>(*owner).agent == agent);
+  const OverdueAgents overdue{{kMaxOverdueAgents, agent}};
+  CHECK(Encode(overdue).size() <= 1400);
+  const auto overdue_read = DecodeNodeMessage(Encode(overdue));
+  REQUIRE(overdue_read);
+  CHECK(std::get<OverdueAgents>(*overdue_read).agents == overdue.agents);
+  const StoppingAgents stopping{
+      {kMaxOverdueAgents, {agent, Incarnation{0xFFFFFFFFFFFFFFFF}}}};
+  CHECK(Encode(stopping).size() <= 1400);
+  const auto stopping_read = DecodeNodeMessage(Encode(stopping));
+  REQUIRE(stopping_read);
+  const auto& agents = std::get<StoppingAgents>(*stopping_read).agents;
+  REQUIRE(agents.size() == kMaxOverdueAgents);
+  CHECK(agents.back().address == agent);
+  CHECK(agents.back().incarnation == Incarnation{0xFFFFFFFFFFFFFFFF});
   for (const bool is_certain : {false, true}) {
     for (const bool has_packet : {false, true}) {
       const auto answer = DecodeNodeMessage(
@@ -219,6 +233,8 @@
       FlowQuery{},
       LivenessQuery{},
       FlowOwnerMessage{},
+      OverdueAgents{{{1, 2}}},
+      StoppingAgents{{{{1, 2}, Incarnation{3}}}},
       FlowHandover{"counter", Incarnation{1}, 2, 0, 1, true, {{}, {}}},
       heartbeat,
       Status(2),
