Wait for balancers that have ended no longer than for agents

What callers would see: after the loss of some balancers, the resets of lost flows at the others came up to 3 s later, since a search waited so long for the answer of a balancer that had ended.

Cause: kAnswerTimeout was 3 s, and queries were repeated only with a copy of the caller's packet.

Change: queries to balancers without an answer are repeated by the tick after 100 ms. One that leaves three of them unanswered for 350 ms has ended, the time of a silent agent. With the shorter time had a reset again: the balancers that knew the owner ended while the search waited for agents. So they are asked as soon as an agent has not answered for 100 ms, an agent that one of them has named is waited for also after its end, and all are asked again if their answers are older than 500 ms.

Evidence: a test bounds the wait at 450 ms. The test of a named owner fails with a reset if the name is not kept.

--- a/src/libflow/flowownertable.h
+++ b/src/libflow/flowownertable.h
@@ -62,6 +62,9 @@
   /// peers_queried on; the epoch if none has been asked.
   std::vector<SocketAddress> pending_peers;
   TimePoint peers_queried{};
+  /// Agent that one of them named as the owner, and that has not reported here
+  /// yet; the unspecified address if there is none.
+  SocketAddress named_owner;
   /// Agents that have got \ref search_packet.
   std::vector<AgentPeerPtr> packet_receivers;
   /// The caller's last packet, which waits for the end of the search.
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -1,6 +1,7 @@
 #include "libflow/flowrouter.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -54,6 +55,9 @@
 constexpr std::size_t kMaxStrayProbes = 2;
 /// Maximum number of agents that one SYN is sent to.
 constexpr std::uint8_t kMaxPlacements = 4;
+/// A balancer that has named the owner of a flow is asked again after this
+/// time, in case the owner is still away.
+constexpr milliseconds kOwnerQueryInterval{500};
 /// Number of balancers that are asked about overdue agents at each tick. An
 /// agent is asked twice before it counts as silent, so that six hear of it.
 constexpr std::size_t kMaxPeersAboutOverdue = 3;
@@ -287,6 +291,10 @@
     if (TryEndSearch(tuple, entry, now)) {
       return;
     }
+    if (now - entry->placed >= kQueryTimeout) {
+      // While the search waits for an agent, those who know the owner may end.
+      HavePeersConfirmedLoss(tuple, entry, now);
+    }
     const bool is_stage_over = now - entry->stage_began >= kStageTimeout;
     if (is_stage_over && !QueryNextStage(tuple, entry, now)) {
       return;
@@ -650,28 +658,62 @@
   }
   m_peers.Prune(now);
   auto& pending = entry->pending_peers;
-  const bool is_first = entry->peers_queried == TimePoint{};
+  const Duration age = now - entry->peers_queried;
+  const bool repeats = age >= kOwnerQueryInterval;
+  // An agent that has come back since may have reported to another balancer.
+  const bool is_first = pending.empty() && repeats;
   if (is_first) {
     pending = m_peers.Addresses();
   }
   std::erase_if(pending, [&](const SocketAddress& peer) {
     return !m_peers.Contains(peer);
   });
+  const AgentPeerPtr named = m_agents.Find(entry->named_owner);
+  const bool awaits_named =
+      entry->named_owner != SocketAddress{} && !(named && named->last_report());
   if (pending.empty()) {
-    return true;
+    return !awaits_named;
   }
-  if ((is_first || now - entry->peers_queried >= kQueryTimeout) &&
-      m_search_bytes.TryTake(
-          now, static_cast<double>(pending.size() * kQueryBytes))) {
-    entry->peers_queried = now;
-    for (const SocketAddress& peer : pending) {
-      m_peers.OnQueried(peer, now);
-      m_output->SendToNode(peer, FlowQuery{tuple, entry->acknowledgment});
-    }
+  if (!is_first && age < kQueryTimeout) {
+    return false;
+  }
+  std::vector<SocketAddress> queried;
+  std::copy_if(pending.begin(), pending.end(), std::back_inserter(queried),
+               [&](const SocketAddress& peer) {
+                 return is_first || repeats || m_peers.IsUnanswered(peer);
+               });
+  if (queried.empty() ||
+      !m_search_bytes.TryTake(
+          now, static_cast<double>(queried.size() * kQueryBytes))) {
+    return false;
+  }
+  if (entry->peers_queried == TimePoint{}) {
+    m_peer_searches.push_back(tuple);
+  }
+  entry->peers_queried = now;
+  if (awaits_named) {
+    m_output->SendToNode(entry->named_owner,
+                         FlowQuery{tuple, entry->acknowledgment});
+  }
+  for (const SocketAddress& peer : queried) {
+    m_peers.OnQueried(peer, now);
+    m_output->SendToNode(peer, FlowQuery{tuple, entry->acknowledgment});
   }
   return false;
 }
 
+void FlowRouter::AdvancePeerSearches(TimePoint now) {
+  std::vector<FlowTuple> searches = std::exchange(m_peer_searches, {});
+  std::erase_if(searches, [&](const FlowTuple& tuple) {
+    FlowEntry* entry = m_flows.Find(tuple);
+    return entry == nullptr || entry->state != State::kSearching ||
+           entry->peers_queried == TimePoint{} ||
+           TryEndSearch(tuple, entry, now);
+  });
+  m_peer_searches.insert(m_peer_searches.end(), searches.begin(),
+                         searches.end());
+}
+
 void FlowRouter::Deliver(const FlowEntry& entry,
                          std::span<const std::uint8_t> datagram,
                          TimePoint now) {
@@ -847,7 +889,9 @@
   }
   const AgentPeerPtr agent = m_agents.Find(message.agent);
   if (!agent || !agent->last_report()) {
-    // The agent introduces itself with its answer. Until then the search waits.
+    // The agent introduces itself with its answer. Until then the search waits,
+    // also if the other balancer ends.
+    entry->named_owner = message.agent;
     m_output->SendToNode(message.agent,
                          FlowQuery{tuple, entry->acknowledgment});
     return;
@@ -1041,6 +1085,7 @@
     entry->later_stages.clear();
     entry->pending_peers.clear();
     entry->peers_queried = {};
+    entry->named_owner = {};
     entry->is_deferred = false;
     const auto packet = std::exchange(entry->search_packet, {});
     const auto receivers = std::exchange(entry->packet_receivers, {});
@@ -1085,6 +1130,7 @@
   }
   AskPeersAboutOverdue();
   AdvanceSearches(now);
+  AdvancePeerSearches(now);
   EndDeferredSearches(now);
   m_subscriptions.OnTick(m_agents, now);
   m_heartbeats.OnTick(m_agents, now);
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -217,6 +217,9 @@
   void OnFlowUnknown(const SocketAddress& source,
                      const FlowUnknownMessage& message,
                      TimePoint now);
+  /// Repeats the queries to balancers that have not answered, and ends the
+  /// searches that wait for none any more.
+  void AdvancePeerSearches(TimePoint now);
   /// Answers another balancer that searches for the owner of a flow.
   void OnPeerQuery(const SocketAddress& source,
                    const FlowQuery& query,
@@ -261,6 +264,8 @@
   /// Searches that have a further stage.
   std::vector<FlowTuple> m_staged_searches;
   std::vector<FlowTuple> m_deferred_searches;
+  /// Searches that have asked other balancers.
+  std::vector<FlowTuple> m_peer_searches;
   TimePoint m_next_sweep;
 };
 
--- a/src/libflow/peerbalancertable.cpp
+++ b/src/libflow/peerbalancertable.cpp
@@ -38,7 +38,9 @@
 
 void PeerBalancerTable::OnMessage(const SocketAddress& address) {
   if (address != m_self) {
-    m_peers[address].unanswered_since = {};
+    Peer& peer = m_peers[address];
+    peer.unanswered_since = {};
+    peer.unanswered_queries = 0;
   }
 }
 
@@ -49,16 +51,25 @@
 
 void PeerBalancerTable::OnQueried(const SocketAddress& address, TimePoint now) {
   const auto position = m_peers.find(address);
-  if (position != m_peers.end() &&
-      position->second.unanswered_since == TimePoint{}) {
-    position->second.unanswered_since = now;
+  if (position == m_peers.end()) {
+    return;
   }
+  Peer& peer = position->second;
+  if (++peer.unanswered_queries == 1) {
+    peer.unanswered_since = now;
+  }
+}
+
+bool PeerBalancerTable::IsUnanswered(const SocketAddress& address) const {
+  const auto position = m_peers.find(address);
+  return position != m_peers.end() && position->second.unanswered_queries > 0;
 }
 
 void PeerBalancerTable::Prune(TimePoint now) {
   std::erase_if(m_peers, [&](const auto& item) {
-    const TimePoint since = item.second.unanswered_since;
-    return since != TimePoint{} && now - since >= kAnswerTimeout;
+    const Peer& peer = item.second;
+    return peer.unanswered_queries >= kMinQueries &&
+           now - peer.unanswered_since >= kAnswerTimeout;
   });
 }
 
--- a/src/libflow/peerbalancertable.h
+++ b/src/libflow/peerbalancertable.h
@@ -16,9 +16,11 @@
 /// upstream that this balancer has not heard of.
 class PeerBalancerTable {
  public:
-  /// A balancer that has answered no query for this long has ended, and what it
-  /// knew is lost with it. A paused one answers within a few seconds.
-  static constexpr std::chrono::milliseconds kAnswerTimeout{3000};
+  /// A balancer that has answered none of kMinQueries queries for this long has
+  /// ended, and what it knew is lost with it. The time is that after which a
+  /// silent agent is lost, since callers wait for the same resets.
+  static constexpr std::chrono::milliseconds kAnswerTimeout{350};
+  static constexpr int kMinQueries = 3;
 
   explicit PeerBalancerTable(TimePoint now) : m_started(now) {}
 
@@ -39,6 +41,8 @@
   bool Contains(const SocketAddress& address) const {
     return m_peers.contains(address);
   }
+  /// Whether the balancer has sent no message since the last query.
+  bool IsUnanswered(const SocketAddress& address) const;
 
   /// Removes the balancers that no longer answer.
   void Prune(TimePoint now);
@@ -57,6 +61,7 @@
     TimePoint greeted{};
     /// First query since the last message; the epoch if there is none.
     TimePoint unanswered_since{};
+    int unanswered_queries = 0;
   };
 
   TimePoint m_started;
--- a/tests/libflow/orphanedflowstest.cpp
+++ b/tests/libflow/orphanedflowstest.cpp
@@ -166,16 +166,15 @@
   }
 }
 
-// Guards against lost flows whose callers are never told, because a search
-// waits for the answer of a balancer that has ended.
-TEST_CASE("a search waits for a balancer that has ended for 3 s at most") {
+// Guards against lost flows whose callers are told too late or never, because a
+// search waits for the answer of a balancer that has ended, too.
+TEST_CASE("a search waits for a balancer that has ended for 450 ms at most") {
   FlowSite site(2, 4);
   site.Run(milliseconds(2000));
   site.balancers[1]->running = false;
   const FlowTuple tuple = SendOrphanedPacket(&site);
   CHECK(site.ResetsOf(tuple) == 0);
-  site.Run(PeerBalancerTable::kAnswerTimeout);
-  SendOrphanedPacket(&site);
+  site.Run(milliseconds(450));
   CHECK(site.ResetsOf(tuple) == 1);
   // Later searches do not wait for it.
   CHECK(site.ResetsOf(SendOrphanedPacket(&site, 1)) == 1);
--- a/tests/libflow/plannedworktest.cpp
+++ b/tests/libflow/plannedworktest.cpp
@@ -1083,6 +1083,32 @@
   CHECK(site.AnswersTo(tuple) >= 2);
 }
 
+// Guards against FLOW (a): a balancer asks the others for the owner only when
+// all agents that it knows have answered, and those that knew it have ended.
+TEST_CASE("an owner that a balancer has named is waited for after its end") {
+  FlowSite site(2, 4);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  FlowSite::Agent* owner = OpenFlow(&site, tuple);
+  REQUIRE(owner != nullptr);
+  Unlist(&site, owner);
+  FlowSite::Agent* other = site.agents[IndexOf(site, owner) == 0 ? 1 : 0].get();
+  StopAgents(&site, {owner, other});
+  site.StartBalancer(1);
+  site.Publish();
+  site.Run(milliseconds(300));
+  site.SendRequest(1, tuple, 2);
+  site.Run(milliseconds(200));
+  site.SendRequest(1, tuple, 2);
+  site.balancers[0]->running = false;
+  site.Run(milliseconds(1000));
+  site.StartAgent(IndexOf(site, other));
+  for (int copy = 0; copy < 4; ++copy) {
+    site.Run(milliseconds(300));
+    site.SendRequest(1, tuple, 2);
+  }
+  CHECK(site.resets.empty());
+}
+
 // Guards against FLOW (a): a balancer gets no report of the short run of an
 // agent that is restarted again at once, and takes it for lost 6 s after the
 // first stop.
