--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -1,6 +1,7 @@
 #include "libflow/flowrouter.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -60,6 +61,12 @@
 constexpr std::size_t kMaxStrayProbes = 2;
 /// Maximum number of agents that one SYN is sent to.
 constexpr std::uint8_t kMaxPlacements = 4;
+/// A balancer that has named the owner of a flow is asked again after this
+/// time, in case the owner is still away.
+constexpr milliseconds kOwnerQueryInterval{500};
+/// Number of balancers that are asked about overdue agents at each tick. An
+/// agent is asked twice before it counts as silent, so that six hear of it.
+constexpr std::size_t kMaxPeersAboutOverdue = 3;
 /// Limit on repeated placements: 30 % of the new flows, and a constant minimum
 /// rate.
 constexpr double kRetryShare = 0.3;
@@ -88,6 +95,7 @@
       m_subscriptions(static_cast<std::uint64_t>(m_settings.incarnation),
                       m_settings.zone),
       m_heartbeats(m_settings.incarnation, m_settings.zone, output),
+      m_peers(now),
       m_loss_detector(m_agents),
       m_retry_budget(kRetryShare, kMinRetriesPerSecond, now),
       m_search_bytes(static_cast<double>(m_settings.search_bytes_per_second),
@@ -104,9 +112,12 @@
       !(m_view->upstreams.empty() && m_view->unconfigured_upstreams.empty())) {
     m_loss_detector.OnFirstView(now);
   }
-  m_agents.Install(*m_view, now);
+  const std::vector<AgentPeerPtr> added = m_agents.Install(*m_view, now);
   m_subscriptions.Update(m_agents, now);
   m_heartbeats.OnViewChanged(m_agents, now);
+  for (const AgentPeerPtr& agent : added) {
+    AskInSearches(agent, now);
+  }
 }
 
 bool FlowRouter::IsServing() const {
@@ -287,6 +298,10 @@
     if (TryEndSearch(tuple, entry, now)) {
       return;
     }
+    if (now - entry->placed >= kQueryTimeout) {
+      // While the search waits for an agent, those who know the owner may end.
+      HavePeersConfirmedLoss(tuple, entry, now);
+    }
     const bool is_stage_over = now - entry->stage_began >= kStageTimeout;
     if (is_stage_over && !QueryNextStage(tuple, entry, now)) {
       return;
@@ -638,6 +653,9 @@
     return false;
   }
   if (m_loss_detector.AreAllUpstreamsKnown(now)) {
+    if (!HavePeersConfirmedLoss(tuple, entry, now)) {
+      return false;
+    }
     Reset(tuple, entry->acknowledgment, "no_owner", nullptr, now);
   } else {
     Report(Kind::kDropped, tuple, nullptr, "no_owner_known", now);
@@ -646,6 +664,70 @@
   return true;
 }
 
+bool FlowRouter::HavePeersConfirmedLoss(const FlowTuple& tuple,
+                                        FlowEntry* entry,
+                                        TimePoint now) {
+  if (m_loss_detector.AreAllFlowsLost(now)) {
+    return true;
+  }
+  m_peers.Prune(now);
+  auto& pending = entry->pending_peers;
+  const Duration age = now - entry->peers_queried;
+  const bool repeats = age >= kOwnerQueryInterval;
+  // An agent that has come back since may have reported to another balancer.
+  const bool is_first = pending.empty() && repeats;
+  if (is_first) {
+    pending = m_peers.Addresses();
+  }
+  std::erase_if(pending, [&](const SocketAddress& peer) {
+    return !m_peers.Contains(peer);
+  });
+  const AgentPeerPtr named = m_agents.Find(entry->named_owner);
+  const bool awaits_named =
+      entry->named_owner != SocketAddress{} && !(named && named->last_report());
+  if (pending.empty()) {
+    return !awaits_named;
+  }
+  if (!is_first && age < kQueryTimeout) {
+    return false;
+  }
+  std::vector<SocketAddress> queried;
+  std::copy_if(pending.begin(), pending.end(), std::back_inserter(queried),
+               [&](const SocketAddress& peer) {
+                 return is_first || repeats || m_peers.IsUnanswered(peer);
+               });
+  if (queried.empty() ||
+      !m_search_bytes.TryTake(
+          now, static_cast<double>(queried.size() * kQueryBytes))) {
+    return false;
+  }
+  if (entry->peers_queried == TimePoint{}) {
+    m_peer_searches.push_back(tuple);
+  }
+  entry->peers_queried = now;
+  if (awaits_named) {
+    m_output->SendToNode(entry->named_owner,
+                         FlowQuery{tuple, entry->acknowledgment});
+  }
+  for (const SocketAddress& peer : queried) {
+    m_peers.OnQueried(peer, now);
+    m_output->SendToNode(peer, FlowQuery{tuple, entry->acknowledgment});
+  }
+  return false;
+}
+
+void FlowRouter::AdvancePeerSearches(TimePoint now) {
+  std::vector<FlowTuple> searches = std::exchange(m_peer_searches, {});
+  std::erase_if(searches, [&](const FlowTuple& tuple) {
+    FlowEntry* entry = m_flows.Find(tuple);
+    return entry == nullptr || entry->state != State::kSearching ||
+           entry->peers_queried == TimePoint{} ||
+           TryEndSearch(tuple, entry, now);
+  });
+  m_peer_searches.insert(m_peer_searches.end(), searches.begin(),
+                         searches.end());
+}
+
 void FlowRouter::Deliver(const FlowEntry& entry,
                          std::span<const std::uint8_t> datagram,
                          TimePoint now) {
@@ -700,6 +782,20 @@
     OnFlowUnknown(source, *unknown, now);
   } else if (const auto* handover = std::get_if<FlowHandover>(&message)) {
     OnHandover(source, *handover, now);
+  } else if (const auto* query = std::get_if<FlowQuery>(&message)) {
+    OnPeerQuery(source, *query, now);
+  } else if (const auto* owner = std::get_if<FlowOwnerMessage>(&message)) {
+    OnFlowOwner(source, *owner, now);
+  } else if (const auto* overdue = std::get_if<OverdueAgents>(&message)) {
+    OnPeerOverdue(source, *overdue);
+  } else if (const auto* stopping = std::get_if<StoppingAgents>(&message)) {
+    OnStoppingAgents(*stopping, now);
+  } else if (const auto* greeting = std::get_if<BalancerHeartbeat>(&message)) {
+    if (greeting->incarnation == m_settings.incarnation) {
+      m_peers.SetSelf(source);
+    } else {
+      m_peers.OnMessage(source);
+    }
   } else {
     Report(Kind::kDropped, {}, nullptr, "unexpected_message", now);
   }
@@ -736,8 +832,12 @@
                                TimePoint now) {
   const FlowTuple tuple = message.tuple;
   const AgentPeerPtr agent = m_agents.Find(source);
+  if (!agent) {
+    OnPeerWithoutOwner(source, tuple, now);
+    return;
+  }
   FlowEntry* entry = m_flows.Find(tuple);
-  if (!agent || entry == nullptr) {
+  if (entry == nullptr) {
     return;
   }
   Report(Kind::kUnknownThere, tuple, agent.get(),
@@ -764,6 +864,103 @@
   }
 }
 
+void FlowRouter::OnPeerQuery(const SocketAddress& source,
+                             const FlowQuery& query,
+                             TimePoint now) {
+  m_peers.OnMessage(source);
+  const FlowEntry* entry = m_flows.Find(query.tuple);
+  if (entry != nullptr && entry->state != State::kSearching && entry->owner &&
+      !IsLost(*entry->owner, now)) {
+    m_output->SendToNode(
+        source, FlowOwnerMessage{query.tuple, entry->owner->address()});
+  } else {
+    m_output->SendToNode(source, FlowUnknownMessage{query.tuple});
+  }
+}
+
+void FlowRouter::OnPeerWithoutOwner(const SocketAddress& source,
+                                    const FlowTuple& tuple,
+                                    TimePoint now) {
+  if (!m_peers.Contains(source)) {
+    return;
+  }
+  m_peers.OnMessage(source);
+  FlowEntry* entry = m_flows.Find(tuple);
+  if (entry != nullptr && entry->state == State::kSearching &&
+      std::erase(entry->pending_peers, source) > 0) {
+    TryEndSearch(tuple, entry, now);
+  }
+}
+
+void FlowRouter::OnFlowOwner(const SocketAddress& source,
+                             const FlowOwnerMessage& message,
+                             TimePoint now) {
+  const FlowTuple tuple = message.tuple;
+  m_peers.OnMessage(source);
+  FlowEntry* entry = m_flows.Find(tuple);
+  if (entry == nullptr || entry->state != State::kSearching) {
+    return;
+  }
+  const AgentPeerPtr agent = m_agents.Find(message.agent);
+  if (!agent || !agent->last_report()) {
+    // The agent introduces itself with its answer. Until then the search waits,
+    // also if the other balancer ends.
+    entry->named_owner = message.agent;
+    m_output->SendToNode(message.agent,
+                         FlowQuery{tuple, entry->acknowledgment});
+    return;
+  }
+  // The agent itself knows better than another balancer.
+  const auto& pending = entry->pending_agents;
+  const bool has_answered =
+      entry->later_stages.empty() &&
+      std::find(pending.begin(), pending.end(), agent) == pending.end();
+  if (has_answered || IsLost(*agent, now)) {
+    OnPeerWithoutOwner(source, tuple, now);
+  }
+}
+
+void FlowRouter::AskPeersAboutOverdue() {
+  OverdueAgents message;
+  for (const AgentPeerPtr& agent : m_failure_detector.overdue()) {
+    if (message.agents.size() < kMaxOverdueAgents &&
+        agent->phase() == AgentPhase::kServing) {
+      message.agents.push_back(agent->address());
+    }
+  }
+  if (message.agents.empty()) {
+    return;
+  }
+  for (const SocketAddress& peer : m_peers.Next(kMaxPeersAboutOverdue)) {
+    m_output->SendToNode(peer, message);
+  }
+}
+
+void FlowRouter::OnPeerOverdue(const SocketAddress& source,
+                               const OverdueAgents& message) {
+  m_peers.OnMessage(source);
+  StoppingAgents answer;
+  for (const SocketAddress& address : message.agents) {
+    const AgentPeerPtr agent = m_agents.Find(address);
+    if (agent && agent->phase() == AgentPhase::kStopping) {
+      answer.agents.push_back({address, agent->incarnation()});
+    }
+  }
+  if (!answer.agents.empty()) {
+    m_output->SendToNode(source, answer);
+  }
+}
+
+void FlowRouter::OnStoppingAgents(const StoppingAgents& message,
+                                  TimePoint now) {
+  for (const StoppingAgent& stopping : message.agents) {
+    const AgentPeerPtr agent = m_agents.Find(stopping.address);
+    if (agent && agent->OnStopNotice(stopping.incarnation)) {
+      Report(Kind::kPeerPhase, {}, agent.get(), ToString(agent->phase()), now);
+    }
+  }
+}
+
 void FlowRouter::OnStatus(const SocketAddress& source,
                           const AgentStatus& status,
                           TimePoint now) {
@@ -805,6 +1002,11 @@
   }
   for (const SocketAddress& address : status.new_balancers) {
     m_heartbeats.OnBalancerIntroduced(address, now);
+    if (m_peers.OnAnnounced(address, now)) {
+      BalancerHeartbeat greeting;
+      greeting.incarnation = m_settings.incarnation;
+      m_output->SendToNode(address, greeting);
+    }
   }
   ApplyReportedFlows(agent, status.opened, now);
   ProcessPendingPackets(now);
@@ -895,6 +1097,9 @@
     entry->pending_agents.clear();
     entry->unsure_agents.clear();
     entry->later_stages.clear();
+    entry->pending_peers.clear();
+    entry->peers_queried = {};
+    entry->named_owner = {};
     entry->is_deferred = false;
     const auto packet = std::exchange(entry->search_packet, {});
     const auto receivers = std::exchange(entry->packet_receivers, {});
@@ -937,7 +1142,9 @@
     }
     m_output->SendToNode(agent->address(), LivenessQuery{});
   }
+  AskPeersAboutOverdue();
   AdvanceSearches(now);
+  AdvancePeerSearches(now);
   EndDeferredSearches(now);
   m_subscriptions.OnTick(m_agents, now);
   m_heartbeats.OnTick(m_agents, now);
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -61,7 +61,8 @@
 };
 
 /// Balancer to agent: asks whether the upstream holds a flow. The agent answers
-/// with a report of the flow, or with FlowUnknownMessage.
+/// with a report of the flow, or with FlowUnknownMessage. Balancer to balancer:
+/// asks who holds it; the answer is FlowOwnerMessage or FlowUnknownMessage.
 struct FlowQuery {
   FlowTuple tuple;
   /// Acknowledgment number of the caller's packet, which tells the flow from
@@ -71,11 +72,36 @@
   bool is_reset = false;
 };
 
+/// Balancer to balancer: the agent that holds a flow according to the sender.
+struct FlowOwnerMessage {
+  FlowTuple tuple;
+  SocketAddress agent;
+};
+
+/// Balancer to balancer: the reports of these agents are overdue at the sender.
+/// Answered with StoppingAgents if one of them is about to stop.
+struct OverdueAgents {
+  std::vector<SocketAddress> agents;
+};
+
+/// An agent that has announced that it is about to stop.
+struct StoppingAgent {
+  SocketAddress address;
+  Incarnation incarnation{};
+};
+
+/// Balancer to balancer: agents whose notice of a planned stop the sender has
+/// received.
+struct StoppingAgents {
+  std::vector<StoppingAgent> agents;
+};
+
 /// Balancer to agent: the reports of the agent are overdue. The agent answers
 /// with a report at once.
 struct LivenessQuery {};
 
 /// Agent to balancer: the upstream does not hold the flow of a packet or query.
+/// Balancer to balancer: the sender knows no agent that holds it.
 struct FlowUnknownMessage {
   FlowTuple tuple;
   /// False if the agent does not know the flow, but its upstream may hold it
@@ -87,7 +113,7 @@
 };
 
 /// Balancer to agent: liveness, and the entry of the agent's upstream in the
-/// balancer's view.
+/// balancer's view. Balancer to balancer, without an entry: the sender exists.
 struct BalancerHeartbeat {
   Incarnation incarnation{};
   /// Revision of the upstream's entry from which the following fields come; 0
@@ -206,7 +232,10 @@
                                  ReportRequest,
                                  FlowQuery,
                                  FlowHandover,
-                                 LivenessQuery>;
+                                 LivenessQuery,
+                                 FlowOwnerMessage,
+                                 OverdueAgents,
+                                 StoppingAgents>;
 
 }  // namespace fireflytrestle
 
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -23,6 +23,9 @@
   kFlowQuery,
   kFlowHandover,
   kLivenessQuery,
+  kFlowOwner,
+  kOverdueAgents,
+  kStoppingAgents,
   kCount,
 };
 
@@ -36,6 +39,10 @@
 constexpr std::uint32_t kFlowQueryFields = 7;
 constexpr std::uint32_t kFlowHandoverFields = 8;
 constexpr std::uint32_t kLivenessQueryFields = 1;
+constexpr std::uint32_t kFlowOwnerFields = 7;
+constexpr std::uint32_t kOverdueAgentsFields = 2;
+constexpr std::uint32_t kStoppingAgentsFields = 2;
+constexpr std::uint32_t kStoppingAgentFields = 3;
 constexpr std::uint32_t kHeartbeatFields = 9;
 /// The same for an upstream whose start time is known.
 constexpr std::uint32_t kStartedHeartbeatFields = kHeartbeatFields + 1;
@@ -241,6 +248,29 @@
   WriteHead(writer, Kind::kLivenessQuery, kLivenessQueryFields);
 }
 
+void Write(MsgpackWriter* writer, const FlowOwnerMessage& message) {
+  WriteHead(writer, Kind::kFlowOwner, kFlowOwnerFields);
+  WriteTuple(writer, message.tuple);
+  writer->WriteUint(message.agent.ipv4);
+  writer->WriteUint(message.agent.port);
+}
+
+void Write(MsgpackWriter* writer, const OverdueAgents& message) {
+  WriteHead(writer, Kind::kOverdueAgents, kOverdueAgentsFields);
+  WriteAddresses(writer, message.agents);
+}
+
+void Write(MsgpackWriter* writer, const StoppingAgents& message) {
+  WriteHead(writer, Kind::kStoppingAgents, kStoppingAgentsFields);
+  writer->WriteArray(static_cast<std::uint32_t>(message.agents.size()));
+  for (const StoppingAgent& agent : message.agents) {
+    writer->WriteArray(kStoppingAgentFields);
+    writer->WriteUint(agent.address.ipv4);
+    writer->WriteUint(agent.address.port);
+    writer->WriteUint(static_cast<std::uint64_t>(agent.incarnation));
+  }
+}
+
 void Write(MsgpackWriter* writer, const AgentStatus& message) {
   const bool has_load = message.report_interval && message.load;
   const std::uint32_t fields =
@@ -409,6 +439,35 @@
   return {};
 }
 
+FlowOwnerMessage ReadFlowOwner(MsgpackReader* reader) {
+  FlowOwnerMessage message;
+  message.tuple = ReadTuple(reader);
+  reader->Read(&message.agent.ipv4, 0, kMax32);
+  reader->Read(&message.agent.port, 0, kMax16);
+  return message;
+}
+
+OverdueAgents ReadOverdueAgents(MsgpackReader* reader) {
+  return {ReadAddresses(reader, kMaxOverdueAgents)};
+}
+
+StoppingAgents ReadStoppingAgents(MsgpackReader* reader) {
+  StoppingAgents message;
+  const std::uint32_t count = reader->ReadArray();
+  if (count > kMaxOverdueAgents) {
+    reader->Fail(WireError::kOutOfRange);
+    return message;
+  }
+  for (std::uint32_t i = 0; i < count && reader->ok(); ++i) {
+    StoppingAgent& agent = message.agents.emplace_back();
+    reader->ReadArrayOf(kStoppingAgentFields);
+    reader->Read(&agent.address.ipv4, 0, kMax32);
+    reader->Read(&agent.address.port, 0, kMax16);
+    reader->Read(&agent.incarnation, 0, kMax64);
+  }
+  return message;
+}
+
 AgentStatus ReadStatus(MsgpackReader* reader) {
   AgentStatus message;
   reader->Read(&message.incarnation, 0, kMax64);
@@ -537,6 +596,9 @@
     {Kind::kFlowQuery, kFlowQueryFields, ReadAs<ReadFlowQuery>},
     {Kind::kFlowHandover, kFlowHandoverFields, ReadAs<ReadFlowHandover>},
     {Kind::kLivenessQuery, kLivenessQueryFields, ReadAs<ReadLivenessQuery>},
+    {Kind::kFlowOwner, kFlowOwnerFields, ReadAs<ReadFlowOwner>},
+    {Kind::kOverdueAgents, kOverdueAgentsFields, ReadAs<ReadOverdueAgents>},
+    {Kind::kStoppingAgents, kStoppingAgentsFields, ReadAs<ReadStoppingAgents>},
 };
 
 }  // namespace
