Count a request's age from its caller's first SYN

A copy of a SYN says how many the caller has sent before, and so how long it has waited. The first request of a flow counts from then, so that the order of ShedPolicy and the time-out apply to what the caller sees.

The new test failed with the arrival in its place. The test of few searches after an outage counts queries to agents: those to the other balancer are new.

--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -1,6 +1,7 @@
 #include "libflow/flowtracker.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 #include <variant>
 
@@ -33,6 +34,10 @@
 /// the upstream any more.
 constexpr milliseconds kMaxRequestTime{2000};
 
+/// Callers send copies of a SYN this long after the first one.
+constexpr std::array kSynCopyTimes = {milliseconds(0), milliseconds(200),
+                                      milliseconds(600)};
+
 /// Whether sequence number \p a is after \p b, with wraparound.
 bool IsAfter(std::uint32_t a, std::uint32_t b) {
   return static_cast<std::int32_t>(a - b) > 0;
@@ -167,6 +172,9 @@
     UpstreamFlow& flow = m_flows[tuple];
     flow.syn_sequence = packet.sequence;
     flow.opened = now;
+    flow.requested =
+        now - kSynCopyTimes[std::min<std::size_t>(packet.acknowledgment,
+                                                  kSynCopyTimes.size() - 1)];
     flow.data_sequence = packet.sequence;
     flow.flow_class = message.flow_class;
     Report(Kind::kPlaced, tuple, source, "to_upstream");
@@ -416,9 +424,12 @@
       m_pending_requests.MustWait(m_running) &&
       m_pending_requests.MayWait(flow->flow_class)) {
     Report(Kind::kHeld, tuple, flow->balancer, "upstream_busy");
+    // Callers open a flow to send a request, for which they have waited since.
+    const bool is_first = flow->data_sequence == flow->syn_sequence &&
+                          now - flow->opened < kFirstRequestTimeout;
     m_pending_requests.Push({tuple,
                              flow->flow_class,
-                             now,
+                             is_first ? flow->requested : now,
                              end,
                              {{message.packet.begin(), message.packet.end()}}});
     return;
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -60,6 +60,10 @@
       }
       const bool is_packet = std::holds_alternative<DeliverMessage>(message);
       m_site->delivered += is_packet ? 1 : 0;
+      m_site->agents_queried +=
+          std::holds_alternative<FlowQuery>(message) && node.port == kAgentPort
+              ? 1
+              : 0;
       m_site->queried += std::holds_alternative<FlowQuery>(message) ? 1 : 0;
       m_site->liveness_queries +=
           std::holds_alternative<LivenessQuery>(message) ? 1 : 0;
@@ -332,9 +336,12 @@
     return packet;
   }
 
-  void SendSyn(std::size_t balancer, const FlowTuple& tuple) {
+  void SendSyn(std::size_t balancer,
+               const FlowTuple& tuple,
+               std::uint32_t copy = 0) {
     FlowPacket packet = Packet(tuple);
     packet.syn = true;
+    packet.acknowledgment = copy;
     packet.sequence = 100;
     SendFromCaller(balancer, packet);
   }
@@ -419,8 +426,10 @@
   std::size_t caller_packets = 0;
   /// Number of callers' packets that balancers sent to agents.
   std::size_t delivered = 0;
-  /// Number of queries that balancers sent to agents.
+  /// Number of queries of balancers, to agents and other balancers.
   std::size_t queried = 0;
+  /// The queries among them that went to agents.
+  std::size_t agents_queried = 0;
   /// Number of queries whether an agent still runs.
   std::size_t liveness_queries = 0;
   /// Number of other messages between processes, by sender and by receiver.
--- a/tests/libflow/orphanedflowstest.cpp
+++ b/tests/libflow/orphanedflowstest.cpp
@@ -254,7 +254,7 @@
   }
   RestartProcesses(&site, kAgents);
   site.Run(milliseconds(200));
-  site.queried = 0;
+  site.agents_queried = 0;
   site.delay = [](const SocketAddress&, const SocketAddress&) {
     return milliseconds(100);
   };
@@ -262,7 +262,7 @@
     SendOrphanedPacket(&site, number);
   }
   site.Run(milliseconds(400));
-  CHECK(site.queried <= 12 * kAgents);
+  CHECK(site.agents_queried <= 12 * kAgents);
   for (std::uint32_t number = 0; number < 100; ++number) {
     CHECK(site.ResetsOf(FlowSite::Tuple(900 + number)) == 1);
   }
--- a/tests/libflow/sheddingtest.cpp
+++ b/tests/libflow/sheddingtest.cpp
@@ -33,6 +33,27 @@
   CHECK(site.resets.empty());
 }
 
+TEST_CASE("a request counts from its caller's first SYN") {
+  // Guards against callers of an outage who are late already and take the slots
+  // of those who can still be answered in time.
+  FlowSite site(1, 1, 2);
+  const FlowTuple late = FlowSite::Tuple(6);
+  const FlowTuple fresh = FlowSite::Tuple(7);
+  for (std::uint32_t caller = 1; caller <= 5; ++caller) {
+    site.SendSyn(0, FlowSite::Tuple(caller));
+  }
+  site.SendSyn(0, late, 2);
+  site.SendSyn(0, fresh);
+  for (std::uint32_t caller = 1; caller <= 7; ++caller) {
+    site.SendRequest(0, FlowSite::Tuple(caller));
+  }
+  site.Run(milliseconds(700));
+  const auto& started = site.agents[0]->upstream->started;
+  REQUIRE(started.size() == 7);
+  CHECK(started[5].source == fresh.caller);
+  CHECK(started[6].source == late.caller);
+}
+
 TEST_CASE("a request that waited until its time-out never runs") {
   // Guards against a late copy of a request that was given up: it would count
   // as a new one and take a slot, although nobody waits for its answer.
