Bound the age of flows at an upstream that started after its agent

Cause: an agent whose upstream answered in a flow that it had not seen open reported one of the age of the flow lifetime. One such report means that not all flows were lost.

Such a flow is now no older than the agent's run, if the upstream has started after it.

--- a/src/libflow/flowknowledge.cpp
+++ b/src/libflow/flowknowledge.cpp
@@ -1,5 +1,7 @@
 #include "libflow/flowknowledge.h"
 
+#include <algorithm>
+
 #include "libflow/nodemessage.h"
 
 namespace fireflytrestle {
@@ -9,17 +11,33 @@
                              WallTime started,
                              TimePoint now)
     : m_is_complete(is_first_run),
+      m_is_upstream_new(is_first_run),
       m_flow_lifetime(flow_lifetime),
       m_wall_started(started),
       m_started(now) {}
 
 bool FlowKnowledge::OnUpstreamStarted(WallTime upstream_started) {
-  if (m_is_complete || upstream_started == WallTime{} ||
+  if (m_is_upstream_new || upstream_started == WallTime{} ||
       m_wall_started == WallTime{}) {
     return false;
   }
-  m_is_complete = upstream_started + kMinPreviousRun > m_wall_started;
-  return m_is_complete;
+  m_is_upstream_new = upstream_started + kMinPreviousRun > m_wall_started;
+  m_is_complete |= m_is_upstream_new;
+  return m_is_upstream_new;
+}
+
+void FlowKnowledge::OnUpstreamAbsent() {
+  m_is_complete = true;
+  m_is_upstream_new = true;
+}
+
+std::chrono::milliseconds FlowKnowledge::MaxFlowAge(TimePoint now) const {
+  if (!m_is_upstream_new) {
+    return m_flow_lifetime;
+  }
+  const auto run = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - m_started + kMinPreviousRun);
+  return std::min(run, m_flow_lifetime);
 }
 
 void FlowKnowledge::OnHandover(const FlowHandover& handover) {
--- a/src/libflow/flowknowledge.h
+++ b/src/libflow/flowknowledge.h
@@ -39,7 +39,8 @@
                 TimePoint now);
 
   /// Records when the upstream started, by the clock of the same instance.
-  /// Returns whether that made the knowledge complete.
+  /// Returns whether the upstream is known from now on to hold no flow from
+  /// before the agent's run.
   bool OnUpstreamStarted(WallTime upstream_started);
 
   /// Records a part of a handover. The knowledge is complete with the last part
@@ -47,16 +48,21 @@
   void OnHandover(const FlowHandover& handover);
 
   /// Records that the upstream does not run, so that it holds no flow.
-  void OnUpstreamAbsent() { m_is_complete = true; }
+  void OnUpstreamAbsent();
 
   /// Whether a flow that the agent does not know is not held by the upstream.
   bool IsComplete(TimePoint now) const;
 
+  /// Returns the maximum age of a flow whose opening the agent has not seen.
+  std::chrono::milliseconds MaxFlowAge(TimePoint now) const;
+
   /// Whether the agent has started a moment ago and waits for a handover.
   bool NeedsHandover(TimePoint now) const;
 
  private:
   bool m_is_complete;
+  /// The upstream holds no flow from before the agent's run.
+  bool m_is_upstream_new;
   bool m_has_handover = false;
   std::chrono::milliseconds m_flow_lifetime;
   WallTime m_wall_started;
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -827,7 +827,7 @@
   const bool opened_here = flow.opened != TimePoint{};
   return opened_here
              ? std::chrono::duration_cast<milliseconds>(now - flow.opened)
-             : m_settings.flow_lifetime;
+             : m_knowledge.MaxFlowAge(now);
 }
 
 AgentStatus FlowTracker::MakeStatus(TimePoint now) {
--- a/src/libflow/flowtracker.h
+++ b/src/libflow/flowtracker.h
@@ -197,8 +197,8 @@
   /// Tells all balancers the phase, and hands the flows over if the agent
   /// stops.
   void SendNotices(TimePoint now);
-  /// Returns the age of the flow; the flow lifetime if the agent has not seen
-  /// it open.
+  /// Returns the age of the flow; the maximum if the agent has not seen it
+  /// open.
   std::chrono::milliseconds AgeOf(const UpstreamFlow& flow,
                                   TimePoint now) const;
   AgentStatus MakeStatus(TimePoint now);
--- a/tests/libflow/handovertest.cpp
+++ b/tests/libflow/handovertest.cpp
@@ -80,6 +80,10 @@
         wall_start - FlowKnowledge::kMinPreviousRun + milliseconds(1)));
     CHECK(knowledge.IsComplete(start));
     CHECK_FALSE(knowledge.NeedsHandover(start));
+    // A flow whose opening was not seen does not count as one from before a
+    // loss of power.
+    CHECK(knowledge.MaxFlowAge(start + milliseconds(500)) ==
+          milliseconds(500) + FlowKnowledge::kMinPreviousRun);
   }
   SUBCASE("but not of one that an earlier run may have sent flows") {
     CHECK_FALSE(knowledge.OnUpstreamStarted(wall_start -
@@ -92,6 +96,7 @@
   }
   SUBCASE("but not if the upstream's start is unknown") {
     CHECK_FALSE(knowledge.OnUpstreamStarted({}));
+    CHECK(knowledge.MaxFlowAge(start) == kFlowLifetime);
     CHECK_FALSE(knowledge.IsComplete(start));
   }
   SUBCASE("but not if its own start is unknown") {
