--- a/src/libflow/upstreamflow.h
+++ b/src/libflow/upstreamflow.h
@@ -57,8 +57,8 @@
   /// Balancer that forwarded the caller's last packet.
   SocketAddress balancer;
   TimePoint opened{};
-  /// When the caller sent its first SYN, as far as the copy that opened the flow
-  /// tells.
+  /// When the caller sent its first SYN, as far as the copy that opened the
+  /// flow tells.
   TimePoint requested{};
   TimePoint last_packet{};
 };
