--- a/src/flowagent/flowagentprocess.cpp
+++ b/src/flowagent/flowagentprocess.cpp
@@ -20,10 +20,12 @@
 }  // namespace
 
 FlowAgentProcess::FlowAgentProcess(const FlowAgentSettings& settings,
+                                   WallTime started,
                                    const PacketCodec& codec,
                                    const Clock& clock,
                                    Logger* logger)
     : m_settings(settings),
+      m_started(started),
       m_codec(codec),
       m_clock(clock),
       m_logger(logger),
@@ -45,6 +47,7 @@
   tracker.zone = m_settings.node.zone;
   tracker.flow_lifetime = m_settings.node.flow_lifetime;
   tracker.is_first_run = m_settings.first_start == "true";
+  tracker.started = m_started;
   for (const SocketAddress& seed : m_settings.seeds) {
     tracker.seeds.push_back({seed.ipv4, m_settings.balancer_port});
   }
@@ -53,6 +56,14 @@
         std::move(tracker), m_settings.upstream_address, std::move(node),
         std::move(outbound), m_codec, m_clock, &m_telemetry, &m_gauges);
   });
+  // After a loss of power, an upstream that has not started yet holds no flow,
+  // and neither does one that left before.
+  m_start_check.Start(
+      m_settings.upstream_address, kUpstreamCheckTimeout, [this](bool absent) {
+        if (absent) {
+          m_thread.Post([this] { m_worker->OnUpstreamAbsent(); });
+        }
+      });
   BOOST_LEAF_ASSIGN(
       m_admin, AdminEndpoint::Open(
                    m_settings.node.admin_address,
@@ -112,6 +123,19 @@
   metrics.Gauge("upstream_running",
                 "Requests that the upstream has not begun to answer",
                 static_cast<double>(m_gauges.running));
+  for (std::size_t i = 0; i < m_gauges.waiting.size(); ++i) {
+    metrics.Gauge("requests_waiting",
+                  "Requests that wait for a slot of the upstream",
+                  static_cast<double>(m_gauges.waiting.at(i)),
+                  {{"priority", std::to_string(i)}});
+  }
+  constexpr double kMicro = 1e6;
+  metrics.Gauge("upstream_wait_seconds",
+                "Expected time until a slot is free for a new request",
+                static_cast<double>(m_gauges.wait_us) / kMicro);
+  metrics.Gauge("upstream_work_seconds",
+                "Expected work of a request of the recent mix; 0 if unknown",
+                static_cast<double>(m_gauges.work_us) / kMicro);
   metrics.Gauge("agent_phase", "State of agent and upstream; always 1", 1,
                 {{"phase", ToString(m_gauges.phase)}});
   metrics.Counter("node_messages_total", "Messages of balancers received",
--- a/src/flowagent/flowagentworker.cpp
+++ b/src/flowagent/flowagentworker.cpp
@@ -51,6 +51,10 @@
   m_output.Flush();
 }
 
+void FlowAgentWorker::OnUpstreamAbsent() {
+  m_tracker.OnUpstreamAbsent();
+}
+
 void FlowAgentWorker::OnUpstreamDown() {
   m_tracker.OnUpstreamDown(m_clock.Now());
   m_output.Flush();
@@ -102,10 +106,16 @@
 }
 
 void FlowAgentWorker::Tick() {
-  m_tracker.OnTick(m_clock.Now());
+  const TimePoint now = m_clock.Now();
+  m_tracker.OnTick(now);
   m_output.Flush();
+  const UpstreamLoad load = m_tracker.Load(now).value_or(UpstreamLoad{});
+  m_gauges->wait_us = load.wait.count();
+  m_gauges->work_us = load.work.count();
   m_gauges->flows = m_tracker.flow_count();
   m_gauges->running = m_tracker.running();
+  const auto waiting = m_tracker.WaitingByPriority();
+  std::copy(waiting.begin(), waiting.end(), m_gauges->waiting.begin());
   m_gauges->phase = m_tracker.phase();
   m_gauges->send_failures =
       m_node->send_failures() + m_outbound->send_failures();
--- a/src/flowagent/flowagentworker.h
+++ b/src/flowagent/flowagentworker.h
@@ -3,6 +3,7 @@
 
 #include <QSocketNotifier>
 #include <QTimer>
+#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -23,9 +24,14 @@
   struct Gauges {
     std::atomic<std::uint64_t> flows{0};
     std::atomic<std::uint64_t> running{0};
+    /// Expected wait and work of a request in microseconds; 0 if not known.
+    std::atomic<std::int64_t> wait_us{0};
+    std::atomic<std::int64_t> work_us{0};
     std::atomic<std::uint64_t> node_messages{0};
     std::atomic<std::uint64_t> upstream_packets{0};
     std::atomic<std::uint64_t> send_failures{0};
+    /// Requests that wait for a slot, by priority.
+    std::array<std::atomic<std::uint32_t>, kMaxPriority + 1> waiting{};
     std::atomic<AgentPhase> phase{AgentPhase::kServing};
   };
 
@@ -41,6 +47,7 @@
 
   /// Notifies the balancers that the agent is about to stop.
   void BeginStop();
+  void OnUpstreamAbsent();
   void OnUpstreamDown();
   void OnUpstreamUp();
 
--- a/src/libflow/agenttable.cpp
+++ b/src/libflow/agenttable.cpp
@@ -13,7 +13,9 @@
 
 }  // namespace
 
-void AgentTable::Install(const SiteView& view, TimePoint now) {
+std::vector<AgentPeerPtr> AgentTable::Install(const SiteView& view,
+                                              TimePoint now) {
+  std::vector<AgentPeerPtr> added;
   for (auto& [address, agent] : m_agents) {
     if (!view.upstreams.contains(address.ipv4)) {
       agent->OnView(nullptr, view, now);
@@ -24,11 +26,14 @@
     AgentPeerPtr& agent = m_agents[address];
     if (!agent) {
       agent = std::make_shared<AgentPeer>(address);
+      added.push_back(agent);
     }
     agent->OnView(&entry, view, now);
   }
+  m_unconfigured_upstreams = view.unconfigured_upstreams;
   Prune(now);
   RebuildServiceIndex();
+  return added;
 }
 
 AgentPeerPtr AgentTable::OnStatus(const SocketAddress& address,
@@ -70,6 +75,14 @@
   return position == m_by_service.end() ? none : position->second;
 }
 
+bool AgentTable::LacksUnconfiguredAgent() const {
+  return std::any_of(
+      m_unconfigured_upstreams.begin(), m_unconfigured_upstreams.end(),
+      [&](std::uint32_t ipv4) {
+        return !m_agents.contains(SocketAddress{ipv4, m_agent_port});
+      });
+}
+
 void AgentTable::RebuildServiceIndex() {
   m_by_service.clear();
   for (const auto& [address, agent] : m_agents) {
--- a/src/libflow/agenttable.h
+++ b/src/libflow/agenttable.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -20,7 +21,8 @@
   /// \p agent_port is the port of every agent.
   explicit AgentTable(std::uint16_t agent_port) : m_agent_port(agent_port) {}
 
-  void Install(const SiteView& view, TimePoint now);
+  /// Returns the agents that were not known before.
+  std::vector<AgentPeerPtr> Install(const SiteView& view, TimePoint now);
 
   /// Applies the report of an agent, which the view need not list. Returns the
   /// agent.
@@ -39,6 +41,10 @@
   /// service.
   const std::vector<AgentPeerPtr>& ForService(const std::string& service) const;
 
+  /// Whether the store has an upstream of a service that the configuration does
+  /// not have, and its agent has not reported. The view does not list it.
+  bool LacksUnconfiguredAgent() const;
+
   const std::unordered_map<std::string, std::vector<AgentPeerPtr>>& by_service()
       const {
     return m_by_service;
@@ -53,6 +59,7 @@
   void RebuildServiceIndex();
 
   std::uint16_t m_agent_port;
+  std::set<std::uint32_t> m_unconfigured_upstreams;
   std::unordered_map<SocketAddress, AgentPeerPtr, SocketAddressHash> m_agents;
   std::unordered_map<std::string, std::vector<AgentPeerPtr>> m_by_service;
 };
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -1,6 +1,7 @@
 #include "libflow/flowtracker.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 #include <variant>
 
@@ -33,6 +34,10 @@
 /// the upstream any more.
 constexpr milliseconds kMaxRequestTime{2000};
 
+/// Callers send copies of a SYN this long after the first one.
+constexpr std::array kSynCopyTimes = {milliseconds(0), milliseconds(200),
+                                      milliseconds(600)};
+
 /// Whether sequence number \p a is after \p b, with wraparound.
 bool IsAfter(std::uint32_t a, std::uint32_t b) {
   return static_cast<std::int32_t>(a - b) > 0;
@@ -60,7 +65,10 @@
     : m_settings(std::move(settings)),
       m_codec(codec),
       m_output(output),
-      m_knowledge(m_settings.is_first_run, m_settings.flow_lifetime, now),
+      m_knowledge(m_settings.is_first_run,
+                  m_settings.flow_lifetime,
+                  m_settings.started,
+                  now),
       m_reporter(m_settings.seeds, output, now),
       m_cold_start(now),
       m_next_sweep(now + kSweepInterval) {}
@@ -92,6 +100,7 @@
       now - m_last_activity >= kPauseThreshold) {
     m_resumed = now;
     m_view_confirmed = false;
+    m_running_requests.OnPause(now);
     Report(Kind::kPeerPhase, {}, {}, "resumed");
     m_reporter.SendToAll(MakeStatus(now), m_balancers);
   }
@@ -144,8 +153,9 @@
       return;
     }
     if (m_pending_requests.MustWait(m_running) &&
-        m_pending_requests.IsOverloaded(message.flow_class)) {
-      SendReturn(source, ReturnReason::kUpstreamFull, tuple, message.packet);
+        m_pending_requests.IsOverloaded(message.flow_class, m_running, now)) {
+      SendReturn(source, ReturnReason::kUpstreamFull, tuple, message.packet,
+                 message.flow_class.priority);
       return;
     }
     if (!m_health.TryAdmit(now)) {
@@ -162,6 +172,9 @@
     UpstreamFlow& flow = m_flows[tuple];
     flow.syn_sequence = packet.sequence;
     flow.opened = now;
+    flow.requested =
+        now - kSynCopyTimes[std::min<std::size_t>(packet.acknowledgment,
+                                                  kSynCopyTimes.size() - 1)];
     flow.data_sequence = packet.sequence;
     flow.flow_class = message.flow_class;
     Report(Kind::kPlaced, tuple, source, "to_upstream");
@@ -325,6 +338,7 @@
     flow.state = State::kUnconfirmed;
     flow.caller_closed = false;
     flow.has_returned = false;
+    flow.expired_sequence.reset();
     flow.flow_class = message.flow_class;
     flow.data_sequence = packet.sequence - 1;
   } else if (flow.state == State::kRestored &&
@@ -397,17 +411,25 @@
     }
     return;
   }
+  if (flow->expired_sequence && !IsAfter(end, *flow->expired_sequence)) {
+    // A late copy of a request that was given up would count as a new one.
+    Report(Kind::kDropped, tuple, flow->balancer, "caller_gave_up");
+    return;
+  }
   // The upstream answers data on a closed flow with a reset, which says nothing
   // about its health.
   const bool begins = flow->state != State::kClosing && !flow->running &&
                       IsAfter(end, flow->data_sequence);
   if (begins && flow->state == State::kOpen &&
       m_pending_requests.MustWait(m_running) &&
-      m_pending_requests.CanMeetDeadline(flow->flow_class)) {
+      m_pending_requests.MayWait(flow->flow_class)) {
     Report(Kind::kHeld, tuple, flow->balancer, "upstream_busy");
+    // Callers open a flow to send a request, for which they have waited since.
+    const bool is_first = flow->data_sequence == flow->syn_sequence &&
+                          now - flow->opened < kFirstRequestTimeout;
     m_pending_requests.Push({tuple,
                              flow->flow_class,
-                             now,
+                             is_first ? flow->requested : now,
                              end,
                              {{message.packet.begin(), message.packet.end()}}});
     return;
@@ -430,16 +452,19 @@
 void FlowTracker::StartRequest(UpstreamFlow* flow, TimePoint now) {
   flow->running = true;
   flow->delivered = now;
+  flow->request = m_running_requests.Add(flow->flow_class, now);
   if (++m_running == m_pending_requests.slots()) {
     SendStatusSoon(now);
   }
 }
 
-void FlowTracker::EndRequest(UpstreamFlow* flow) {
-  if (flow->running) {
-    flow->running = false;
-    --m_running;
+std::optional<Duration> FlowTracker::EndRequest(UpstreamFlow* flow) {
+  if (!flow->running) {
+    return std::nullopt;
   }
+  flow->running = false;
+  --m_running;
+  return m_running_requests.Remove(flow->request, m_last_activity);
 }
 
 void FlowTracker::EraseFlow(UpstreamFlowTable::iterator position) {
@@ -465,6 +490,8 @@
     decision.reason = "slot_free";
     decision.service = m_settings.service;
     decision.running = m_running;
+    decision.priority = request->flow_class.priority;
+    decision.late = !request->in_time;
     decision.waited =
         std::chrono::duration_cast<milliseconds>(now - request->arrived);
     m_output->Report(decision);
@@ -484,8 +511,9 @@
     if (position == m_flows.end()) {
       continue;
     }
+    position->second.expired_sequence = request.end_sequence;
     Report(Kind::kDropped, request.tuple, position->second.balancer,
-           "caller_gave_up");
+           "caller_gave_up", request.flow_class.priority);
   }
 }
 
@@ -542,10 +570,12 @@
     }
   }
   if (packet->data_bytes > 0 && flow.running) {
-    m_pending_requests.OnAnswer(now - flow.delivered);
+    if (const std::optional<Duration> work = EndRequest(&flow)) {
+      m_pending_requests.OnAnswer(flow.flow_class, *work);
+      m_recent_work.OnAnswer(*work, now);
+    }
     m_health.OnAnswer();
     m_output->Measure(FlowMeasurement::kAnswer, now - flow.delivered);
-    EndRequest(&flow);
   }
   if (packet->reset) {
     OnUpstreamReset(tuple, flow, now);
@@ -564,10 +594,20 @@
   if (!flow.running && flow.state != State::kOpening) {
     return;
   }
+  OnFailures(1, tuple, flow.balancer, "requests_reset", now);
+}
+
+void FlowTracker::OnFailures(int count,
+                             const FlowTuple& tuple,
+                             const SocketAddress& balancer,
+                             const char* reason,
+                             TimePoint now) {
   const bool was_failing = m_health.IsFailing();
-  m_health.OnFailure(now);
+  for (int i = 0; i < count; ++i) {
+    m_health.OnFailure(now);
+  }
   if (!was_failing && m_health.IsFailing()) {
-    Report(Kind::kUpstreamFailing, tuple, flow.balancer, "requests_reset");
+    Report(Kind::kUpstreamFailing, tuple, balancer, reason);
   }
 }
 
@@ -687,10 +727,19 @@
                               heartbeat.cold_rate_milli);
   }
   m_entry_revision = heartbeat.entry_revision;
+  if (m_knowledge.OnUpstreamStarted(heartbeat.upstream_started)) {
+    Report(Kind::kPeerPhase, {}, source, "upstream_started");
+  }
   m_pending_requests.SetSlots(heartbeat.slots);
+  m_running_requests.SetSlots(heartbeat.slots);
   m_draining = heartbeat.draining;
 }
 
+void FlowTracker::OnUpstreamAbsent() {
+  m_knowledge.OnUpstreamAbsent();
+  Report(Kind::kPeerPhase, {}, {}, "upstream_absent");
+}
+
 void FlowTracker::OnUpstreamDown(TimePoint now) {
   SetPhase(AgentPhase::kUpstreamDown, now);
   for (const auto& [tuple, flow] : m_flows) {
@@ -701,6 +750,8 @@
   m_flows.clear();
   m_pending_requests = {};
   m_health = {};
+  m_running_requests = {};
+  m_recent_work = {};
   m_running = 0;
 }
 
@@ -737,6 +788,11 @@
     m_next_sweep = now + kSweepInterval;
     Sweep(now);
   }
+  OnFailures(m_running_requests.TakeUnanswered(m_pending_requests.work(), now),
+             {}, {}, "requests_unanswered", now);
+  if (m_running > 0) {
+    m_recent_work.OnBusy(now);
+  }
   ExpireRequests(now);
   ReleaseRequests(now);
   if (m_reporter.IsDue(now)) {
@@ -771,7 +827,7 @@
   const bool opened_here = flow.opened != TimePoint{};
   return opened_here
              ? std::chrono::duration_cast<milliseconds>(now - flow.opened)
-             : m_settings.flow_lifetime;
+             : m_knowledge.MaxFlowAge(now);
 }
 
 AgentStatus FlowTracker::MakeStatus(TimePoint now) {
@@ -784,6 +840,7 @@
       m_running + static_cast<std::uint32_t>(m_pending_requests.size());
   status.new_balancers = m_balancers.NextNewBalancers(now);
   status.needs_handover = m_knowledge.NeedsHandover(now);
+  m_opening = 0;
   for (const auto& [tuple, flow] : m_flows) {
     const bool counts =
         flow.state == State::kOpening || flow.state == State::kOpen;
@@ -795,11 +852,26 @@
     const bool brings_request = flow.state == State::kOpening &&
                                 !flow.flow_class.long_lived &&
                                 now - flow.last_packet < kFirstRequestTimeout;
-    status.running += brings_request ? 1 : 0;
+    m_opening += brings_request ? 1 : 0;
   }
+  status.running += m_opening;
+  status.load = Load(now);
   return status;
 }
 
+std::optional<UpstreamLoad> FlowTracker::Load(TimePoint now) const {
+  using std::chrono::microseconds;
+  const std::optional<Duration> work = m_recent_work.Average(now);
+  if (!work || m_pending_requests.slots() == 0) {
+    return std::nullopt;
+  }
+  const Duration wait = m_running_requests.Wait(
+      m_pending_requests.work(), m_pending_requests.size() + m_opening,
+      m_pending_requests.WaitingWork() + *work * m_opening, now);
+  return UpstreamLoad{std::chrono::duration_cast<microseconds>(wait),
+                      std::chrono::duration_cast<microseconds>(*work)};
+}
+
 void FlowTracker::SendStatus(TimePoint now) {
   m_placed_since_status = 0;
   m_reporter.Send(MakeStatus(now), &m_balancers, now);
@@ -831,8 +903,9 @@
 void FlowTracker::SendReturn(const SocketAddress& balancer,
                              ReturnReason reason,
                              const FlowTuple& tuple,
-                             std::span<const std::uint8_t> packet) {
-  Report(Kind::kReturned, tuple, balancer, ToString(reason));
+                             std::span<const std::uint8_t> packet,
+                             std::optional<std::uint8_t> priority) {
+  Report(Kind::kReturned, tuple, balancer, ToString(reason), priority);
   m_output->SendToNode(balancer, ReturnMessage{reason, packet});
 }
 
@@ -846,8 +919,10 @@
 void FlowTracker::Report(FlowDecision::Kind kind,
                          const FlowTuple& tuple,
                          const SocketAddress& peer,
-                         const char* reason) const {
+                         const char* reason,
+                         std::optional<std::uint8_t> priority) const {
   FlowDecision decision;
+  decision.priority = priority;
   decision.kind = kind;
   decision.tuple = tuple;
   decision.peer = peer;
--- a/src/libflow/flowtracker.h
+++ b/src/libflow/flowtracker.h
@@ -1,7 +1,9 @@
 #ifndef FIREFLYTRESTLE_LIBFLOW_FLOWTRACKER_H_
 #define FIREFLYTRESTLE_LIBFLOW_FLOWTRACKER_H_
 
+#include <array>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -12,6 +14,8 @@
 #include "libflow/flowknowledge.h"
 #include "libflow/nodemessage.h"
 #include "libflow/pendingrequestqueue.h"
+#include "libflow/recentwork.h"
+#include "libflow/runningrequests.h"
 #include "libflow/statusreporter.h"
 #include "libflow/upstreamflow.h"
 #include "libflow/upstreamhealth.h"
@@ -54,6 +58,8 @@
     std::chrono::milliseconds flow_lifetime{60000};
     /// No earlier run of the agent has sent a flow to the upstream.
     bool is_first_run = false;
+    /// Time of day at which the process started; the epoch if it is not known.
+    WallTime started{};
   };
 
   /// \p codec and \p output must outlive this object.
@@ -72,6 +78,10 @@
   /// upstream.
   void OnUpstreamPacket(std::span<std::uint8_t> datagram, TimePoint now);
 
+  /// No process listens at the upstream's address yet, or any more: the
+  /// upstream holds no flow of an earlier run of the agent.
+  void OnUpstreamAbsent();
+
   /// The upstream's process has ended, and all its flows are lost.
   void OnUpstreamDown(TimePoint now);
   void OnUpstreamUp(TimePoint now);
@@ -88,6 +98,12 @@
   std::uint32_t running() const { return m_running; }
   /// Requests that wait for a slot of the upstream.
   std::size_t waiting() const { return m_pending_requests.size(); }
+  /// The same for each priority.
+  std::array<std::uint32_t, kMaxPriority + 1> WaitingByPriority() const {
+    return m_pending_requests.CountByPriority();
+  }
+  /// Load and speed of the upstream; empty while they are not known.
+  std::optional<UpstreamLoad> Load(TimePoint now) const;
   AgentPhase phase() const { return m_phase; }
 
  private:
@@ -129,7 +145,14 @@
   /// has passed.
   void SendStatusSoon(TimePoint now);
   void StartRequest(UpstreamFlow* flow, TimePoint now);
-  void EndRequest(UpstreamFlow* flow);
+  /// Returns for how long the upstream has worked on the request, if known.
+  std::optional<Duration> EndRequest(UpstreamFlow* flow);
+  /// Records that the upstream failed \p count requests or opening flows.
+  void OnFailures(int count,
+                  const FlowTuple& tuple,
+                  const SocketAddress& balancer,
+                  const char* reason,
+                  TimePoint now);
   /// Handles a reset from the upstream. It counts as a failure if a request was
   /// running or the flow was still opening.
   void OnUpstreamReset(const FlowTuple& tuple,
@@ -152,7 +175,8 @@
   void SendReturn(const SocketAddress& balancer,
                   ReturnReason reason,
                   const FlowTuple& tuple,
-                  std::span<const std::uint8_t> packet);
+                  std::span<const std::uint8_t> packet,
+                  std::optional<std::uint8_t> priority = std::nullopt);
   /// Informs the balancer that the upstream does not hold the flow.
   void SendUnknown(const SocketAddress& balancer,
                    const FlowTuple& tuple,
@@ -167,13 +191,14 @@
   void Report(FlowDecision::Kind kind,
               const FlowTuple& tuple,
               const SocketAddress& peer,
-              const char* reason) const;
+              const char* reason,
+              std::optional<std::uint8_t> priority = std::nullopt) const;
   void SetPhase(AgentPhase phase, TimePoint now);
   /// Tells all balancers the phase, and hands the flows over if the agent
   /// stops.
   void SendNotices(TimePoint now);
-  /// Returns the age of the flow; the flow lifetime if the agent has not seen
-  /// it open.
+  /// Returns the age of the flow; the maximum if the agent has not seen it
+  /// open.
   std::chrono::milliseconds AgeOf(const UpstreamFlow& flow,
                                   TimePoint now) const;
   AgentStatus MakeStatus(TimePoint now);
@@ -223,8 +248,12 @@
   ColdStartLimiter m_cold_start;
   PendingRequestQueue m_pending_requests;
   UpstreamHealth m_health;
+  RunningRequests m_running_requests;
+  RecentWork m_recent_work;
   /// Flows with \ref UpstreamFlow::running.
   std::uint32_t m_running = 0;
+  /// Short flows that were opening at the last status.
+  std::uint32_t m_opening = 0;
   std::uint32_t m_placed_since_status = 0;
   TimePoint m_next_sweep;
 };
--- a/src/libflow/nodemessage.h
+++ b/src/libflow/nodemessage.h
@@ -9,10 +9,12 @@
 #include <variant>
 #include <vector>
 
+#include "libbase/clock.h"
 #include "libbase/ids.h"
 #include "libbase/socketaddress.h"
 #include "libflow/flowclass.h"
 #include "libflow/flowtuple.h"
+#include "libflow/upstreamload.h"
 #include "libsite/sharedchanges.h"
 
 namespace fireflytrestle {
@@ -59,7 +61,8 @@
 };
 
 /// Balancer to agent: asks whether the upstream holds a flow. The agent answers
-/// with a report of the flow, or with FlowUnknownMessage.
+/// with a report of the flow, or with FlowUnknownMessage. Balancer to balancer:
+/// asks who holds it; the answer is FlowOwnerMessage or FlowUnknownMessage.
 struct FlowQuery {
   FlowTuple tuple;
   /// Acknowledgment number of the caller's packet, which tells the flow from
@@ -69,11 +72,36 @@
   bool is_reset = false;
 };
 
+/// Balancer to balancer: the agent that holds a flow according to the sender.
+struct FlowOwnerMessage {
+  FlowTuple tuple;
+  SocketAddress agent;
+};
+
+/// Balancer to balancer: the reports of these agents are overdue at the sender.
+/// Answered with StoppingAgents if one of them is about to stop.
+struct OverdueAgents {
+  std::vector<SocketAddress> agents;
+};
+
+/// An agent that has announced that it is about to stop.
+struct StoppingAgent {
+  SocketAddress address;
+  Incarnation incarnation{};
+};
+
+/// Balancer to balancer: agents whose notice of a planned stop the sender has
+/// received.
+struct StoppingAgents {
+  std::vector<StoppingAgent> agents;
+};
+
 /// Balancer to agent: the reports of the agent are overdue. The agent answers
 /// with a report at once.
 struct LivenessQuery {};
 
 /// Agent to balancer: the upstream does not hold the flow of a packet or query.
+/// Balancer to balancer: the sender knows no agent that holds it.
 struct FlowUnknownMessage {
   FlowTuple tuple;
   /// False if the agent does not know the flow, but its upstream may hold it
@@ -85,7 +113,7 @@
 };
 
 /// Balancer to agent: liveness, and the entry of the agent's upstream in the
-/// balancer's view.
+/// balancer's view. Balancer to balancer, without an entry: the sender exists.
 struct BalancerHeartbeat {
   Incarnation incarnation{};
   /// Revision of the upstream's entry from which the following fields come; 0
@@ -104,6 +132,9 @@
   /// Balancers that appeared recently, for an agent without an entry in the
   /// store: they cannot find it there.
   std::vector<SocketAddress> new_balancers;
+  /// When the upstream started, by the clock of its instance; the epoch if its
+  /// entry does not say.
+  WallTime upstream_started{};
 };
 
 /// Balancer to agent: how often the balancer wants reports. Until one arrives,
@@ -120,6 +151,9 @@
   /// does not send them.
   std::string_view service;
   Revision entry_revision{};
+  /// The balancer reads AgentStatus::load; earlier versions reject reports that
+  /// have it.
+  bool wants_load = false;
 };
 
 enum class AgentPhase : std::uint8_t {
@@ -184,6 +218,9 @@
   std::uint64_t number = 0;
   /// The agent has started a moment ago and has got no FlowHandover.
   bool needs_handover = false;
+  /// Sent only together with \ref report_interval; empty if the agent has no
+  /// figures yet, or is of an earlier version.
+  std::optional<UpstreamLoad> load;
 };
 
 using NodeMessage = std::variant<DeliverMessage,
@@ -195,7 +232,10 @@
                                  ReportRequest,
                                  FlowQuery,
                                  FlowHandover,
-                                 LivenessQuery>;
+                                 LivenessQuery,
+                                 FlowOwnerMessage,
+                                 OverdueAgents,
+                                 StoppingAgents>;
 
 }  // namespace fireflytrestle
 
--- a/src/libflow/nodemessagecodec.cpp
+++ b/src/libflow/nodemessagecodec.cpp
@@ -23,10 +23,15 @@
   kFlowQuery,
   kFlowHandover,
   kLivenessQuery,
+  kFlowOwner,
+  kOverdueAgents,
+  kStoppingAgents,
   kCount,
 };
 
 constexpr std::uint32_t kDeliverFields = 8;
+/// The same for a flow whose route has another priority than the default.
+constexpr std::uint32_t kPriorityDeliverFields = kDeliverFields + 1;
 constexpr std::uint32_t kReturnFields = 3;
 constexpr std::uint32_t kFlowUnknownFields = 5;
 /// The same for an answer that is not certain, or after a returned packet.
@@ -34,7 +39,13 @@
 constexpr std::uint32_t kFlowQueryFields = 7;
 constexpr std::uint32_t kFlowHandoverFields = 8;
 constexpr std::uint32_t kLivenessQueryFields = 1;
+constexpr std::uint32_t kFlowOwnerFields = 7;
+constexpr std::uint32_t kOverdueAgentsFields = 2;
+constexpr std::uint32_t kStoppingAgentsFields = 2;
+constexpr std::uint32_t kStoppingAgentFields = 3;
 constexpr std::uint32_t kHeartbeatFields = 9;
+/// The same for an upstream whose start time is known.
+constexpr std::uint32_t kStartedHeartbeatFields = kHeartbeatFields + 1;
 constexpr std::uint32_t kStatusFields = 10;
 /// The same for a status with a report interval.
 constexpr std::uint32_t kNumberedStatusFields = 12;
@@ -43,9 +54,16 @@
 constexpr std::uint32_t kStartedStatusFields = kStatusFields + 1;
 constexpr std::uint32_t kStartedNumberedStatusFields =
     kNumberedStatusFields + 1;
+/// The same for a status with a report interval and the upstream's load.
+constexpr std::uint32_t kLoadStatusFields = kStartedNumberedStatusFields + 2;
 constexpr std::uint32_t kReportRequestFields = 3;
 /// The same for a request that names the service of the agent's address.
 constexpr std::uint32_t kServiceReportRequestFields = 5;
+/// Both kinds of request have one more field from a balancer that reads the
+/// upstream's load.
+constexpr std::uint32_t kLoadReportRequestFields = kReportRequestFields + 1;
+constexpr std::uint32_t kLoadServiceReportRequestFields =
+    kServiceReportRequestFields + 1;
 constexpr std::uint32_t kFlowFields = 5;
 constexpr std::uint32_t kAddressFields = 2;
 constexpr std::uint32_t kSharedChangesFields = 9;
@@ -59,7 +77,12 @@
 constexpr std::uint64_t kMax32 = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t kMax64 = std::numeric_limits<std::uint64_t>::max();
 constexpr std::uint64_t kMaxMs = 24ULL * 3600 * 1000;
+/// The end of the year 9999.
+constexpr std::uint64_t kMaxUnixMs = 253'402'300'799'999;
 constexpr std::uint64_t kMaxHandoverParts = 10'000;
+/// No caller waits for a request for as long; a report that says more is wrong.
+constexpr std::uint64_t kMaxWorkUs = 60ULL * 1000 * 1000;
+constexpr std::uint64_t kMaxWaitUs = 3600ULL * 1000 * 1000;
 
 void WriteHead(MsgpackWriter* writer, Kind kind, std::uint32_t fields) {
   writer->WriteArray(fields);
@@ -82,12 +105,24 @@
   writer->WriteUint(std::min(static_cast<std::uint64_t>(count), kMaxMs));
 }
 
+/// The same in microseconds, with the given range.
+void WriteDuration(MsgpackWriter* writer,
+                   std::chrono::microseconds time,
+                   std::uint64_t min,
+                   std::uint64_t max) {
+  const auto count = std::max<std::int64_t>(time.count(), 0);
+  writer->WriteUint(std::clamp(static_cast<std::uint64_t>(count), min, max));
+}
+
 std::chrono::milliseconds ReadTime(MsgpackReader* reader) {
   return std::chrono::milliseconds(reader->ReadUint(0, kMaxMs));
 }
 
 void Write(MsgpackWriter* writer, const DeliverMessage& message) {
-  WriteHead(writer, Kind::kDeliver, kDeliverFields);
+  const std::uint8_t priority = message.flow_class.priority;
+  const bool has_priority = priority != kDefaultPriority;
+  WriteHead(writer, Kind::kDeliver,
+            has_priority ? kPriorityDeliverFields : kDeliverFields);
   WriteName(writer, message.service);
   writer->WriteBool(message.search);
   writer->WriteBool(message.flow_class.idempotent);
@@ -95,6 +130,9 @@
   WriteTime(writer, message.flow_class.latency_objective);
   WriteTime(writer, message.flow_class.timeout);
   writer->WriteBinary(message.packet);
+  if (has_priority) {
+    writer->WriteUint(priority);
+  }
 }
 
 void Write(MsgpackWriter* writer, const ReturnMessage& message) {
@@ -165,7 +203,9 @@
 }
 
 void Write(MsgpackWriter* writer, const BalancerHeartbeat& message) {
-  WriteHead(writer, Kind::kBalancerHeartbeat, kHeartbeatFields);
+  const bool has_start = message.upstream_started != WallTime{};
+  WriteHead(writer, Kind::kBalancerHeartbeat,
+            has_start ? kStartedHeartbeatFields : kHeartbeatFields);
   writer->WriteUint(static_cast<std::uint64_t>(message.incarnation));
   writer->WriteUint(static_cast<std::uint64_t>(message.entry_revision));
   writer->WriteBool(message.draining);
@@ -174,6 +214,10 @@
   WriteTime(writer, message.cold_left);
   writer->WriteUint(message.cold_rate_milli);
   WriteAddresses(writer, message.new_balancers);
+  if (has_start) {
+    writer->WriteUint(static_cast<std::uint64_t>(
+        message.upstream_started.time_since_epoch().count()));
+  }
 }
 
 void Write(MsgpackWriter* writer, const ReportedFlow& flow) {
@@ -204,10 +248,35 @@
   WriteHead(writer, Kind::kLivenessQuery, kLivenessQueryFields);
 }
 
+void Write(MsgpackWriter* writer, const FlowOwnerMessage& message) {
+  WriteHead(writer, Kind::kFlowOwner, kFlowOwnerFields);
+  WriteTuple(writer, message.tuple);
+  writer->WriteUint(message.agent.ipv4);
+  writer->WriteUint(message.agent.port);
+}
+
+void Write(MsgpackWriter* writer, const OverdueAgents& message) {
+  WriteHead(writer, Kind::kOverdueAgents, kOverdueAgentsFields);
+  WriteAddresses(writer, message.agents);
+}
+
+void Write(MsgpackWriter* writer, const StoppingAgents& message) {
+  WriteHead(writer, Kind::kStoppingAgents, kStoppingAgentsFields);
+  writer->WriteArray(static_cast<std::uint32_t>(message.agents.size()));
+  for (const StoppingAgent& agent : message.agents) {
+    writer->WriteArray(kStoppingAgentFields);
+    writer->WriteUint(agent.address.ipv4);
+    writer->WriteUint(agent.address.port);
+    writer->WriteUint(static_cast<std::uint64_t>(agent.incarnation));
+  }
+}
+
 void Write(MsgpackWriter* writer, const AgentStatus& message) {
-  WriteHead(writer, Kind::kAgentStatus,
-            (message.report_interval ? kNumberedStatusFields : kStatusFields) +
-                (message.needs_handover ? 1 : 0));
+  const bool has_load = message.report_interval && message.load;
+  const std::uint32_t fields =
+      (message.report_interval ? kNumberedStatusFields : kStatusFields) +
+      (message.needs_handover ? 1 : 0);
+  WriteHead(writer, Kind::kAgentStatus, has_load ? kLoadStatusFields : fields);
   writer->WriteUint(static_cast<std::uint64_t>(message.incarnation));
   WriteName(writer, message.service);
   WriteName(writer, message.zone);
@@ -221,21 +290,29 @@
     WriteTime(writer, *message.report_interval);
     writer->WriteUint(message.number);
   }
-  if (message.needs_handover) {
+  if (message.needs_handover || has_load) {
     writer->WriteBool(message.needs_handover);
   }
+  if (has_load) {
+    WriteDuration(writer, message.load->wait, 0, kMaxWaitUs);
+    WriteDuration(writer, message.load->work, 1, kMaxWorkUs);
+  }
 }
 
 void Write(MsgpackWriter* writer, const ReportRequest& message) {
   WriteHead(writer, Kind::kReportRequest,
-            message.service.empty() ? kReportRequestFields
-                                    : kServiceReportRequestFields);
+            (message.service.empty() ? kReportRequestFields
+                                     : kServiceReportRequestFields) +
+                (message.wants_load ? 1 : 0));
   WriteName(writer, message.zone);
   WriteTime(writer, message.interval);
   if (!message.service.empty()) {
     WriteName(writer, message.service);
     writer->WriteUint(static_cast<std::uint64_t>(message.entry_revision));
   }
+  if (message.wants_load) {
+    writer->WriteBool(message.wants_load);
+  }
 }
 
 void Write(MsgpackWriter* writer, const SharedChanges& message) {
@@ -272,6 +349,12 @@
   return message;
 }
 
+DeliverMessage ReadPriorityDeliver(MsgpackReader* reader) {
+  DeliverMessage message = ReadDeliver(reader);
+  reader->Read(&message.flow_class.priority, 0, kMaxPriority);
+  return message;
+}
+
 ReturnMessage ReadReturn(MsgpackReader* reader) {
   ReturnMessage message;
   reader->Read(&message.reason, 1,
@@ -312,6 +395,13 @@
   return message;
 }
 
+BalancerHeartbeat ReadStartedHeartbeat(MsgpackReader* reader) {
+  BalancerHeartbeat message = ReadHeartbeat(reader);
+  message.upstream_started =
+      WallTime(std::chrono::milliseconds(reader->ReadUint(0, kMaxUnixMs)));
+  return message;
+}
+
 ReportedFlow ReadFlow(MsgpackReader* reader) {
   ReportedFlow flow;
   reader->ReadArrayOf(kFlowFields);
@@ -349,6 +439,35 @@
   return {};
 }
 
+FlowOwnerMessage ReadFlowOwner(MsgpackReader* reader) {
+  FlowOwnerMessage message;
+  message.tuple = ReadTuple(reader);
+  reader->Read(&message.agent.ipv4, 0, kMax32);
+  reader->Read(&message.agent.port, 0, kMax16);
+  return message;
+}
+
+OverdueAgents ReadOverdueAgents(MsgpackReader* reader) {
+  return {ReadAddresses(reader, kMaxOverdueAgents)};
+}
+
+StoppingAgents ReadStoppingAgents(MsgpackReader* reader) {
+  StoppingAgents message;
+  const std::uint32_t count = reader->ReadArray();
+  if (count > kMaxOverdueAgents) {
+    reader->Fail(WireError::kOutOfRange);
+    return message;
+  }
+  for (std::uint32_t i = 0; i < count && reader->ok(); ++i) {
+    StoppingAgent& agent = message.agents.emplace_back();
+    reader->ReadArrayOf(kStoppingAgentFields);
+    reader->Read(&agent.address.ipv4, 0, kMax32);
+    reader->Read(&agent.address.port, 0, kMax16);
+    reader->Read(&agent.incarnation, 0, kMax64);
+  }
+  return message;
+}
+
 AgentStatus ReadStatus(MsgpackReader* reader) {
   AgentStatus message;
   reader->Read(&message.incarnation, 0, kMax64);
@@ -378,6 +497,15 @@
   return message;
 }
 
+AgentStatus ReadLoadStatus(MsgpackReader* reader) {
+  AgentStatus message = ReadStarted<ReadNumberedStatus>(reader);
+  UpstreamLoad load;
+  load.wait = std::chrono::microseconds(reader->ReadUint(0, kMaxWaitUs));
+  load.work = std::chrono::microseconds(reader->ReadUint(1, kMaxWorkUs));
+  message.load = load;
+  return message;
+}
+
 ReportRequest ReadReportRequest(MsgpackReader* reader) {
   ReportRequest message;
   message.zone = ReadName(reader);
@@ -392,6 +520,13 @@
   return message;
 }
 
+template <auto Reader>
+ReportRequest ReadLoadReportRequest(MsgpackReader* reader) {
+  ReportRequest message = Reader(reader);
+  message.wants_load = reader->ReadBool();
+  return message;
+}
+
 std::string ReadText(MsgpackReader* reader) {
   const std::span<const std::uint8_t> bytes = reader->ReadBinary(kMaxItemBytes);
   return {bytes.begin(), bytes.end()};
@@ -436,23 +571,34 @@
 
 constexpr MessageFormat kMessageFormats[] = {
     {Kind::kDeliver, kDeliverFields, ReadAs<ReadDeliver>},
+    {Kind::kDeliver, kPriorityDeliverFields, ReadAs<ReadPriorityDeliver>},
     {Kind::kReturn, kReturnFields, ReadAs<ReadReturn>},
     {Kind::kFlowUnknown, kFlowUnknownFields, ReadAs<ReadFlowUnknown>},
     {Kind::kFlowUnknown, kFlowUnknownDetailFields,
      ReadAs<ReadFlowUnknownDetail>},
     {Kind::kBalancerHeartbeat, kHeartbeatFields, ReadAs<ReadHeartbeat>},
+    {Kind::kBalancerHeartbeat, kStartedHeartbeatFields,
+     ReadAs<ReadStartedHeartbeat>},
     {Kind::kAgentStatus, kStatusFields, ReadAs<ReadStatus>},
     {Kind::kAgentStatus, kNumberedStatusFields, ReadAs<ReadNumberedStatus>},
     {Kind::kAgentStatus, kStartedStatusFields, ReadAs<ReadStarted<ReadStatus>>},
     {Kind::kAgentStatus, kStartedNumberedStatusFields,
      ReadAs<ReadStarted<ReadNumberedStatus>>},
+    {Kind::kAgentStatus, kLoadStatusFields, ReadAs<ReadLoadStatus>},
     {Kind::kSharedChanges, kSharedChangesFields, ReadAs<ReadSharedChanges>},
     {Kind::kReportRequest, kReportRequestFields, ReadAs<ReadReportRequest>},
     {Kind::kReportRequest, kServiceReportRequestFields,
      ReadAs<ReadServiceReportRequest>},
+    {Kind::kReportRequest, kLoadReportRequestFields,
+     ReadAs<ReadLoadReportRequest<ReadReportRequest>>},
+    {Kind::kReportRequest, kLoadServiceReportRequestFields,
+     ReadAs<ReadLoadReportRequest<ReadServiceReportRequest>>},
     {Kind::kFlowQuery, kFlowQueryFields, ReadAs<ReadFlowQuery>},
     {Kind::kFlowHandover, kFlowHandoverFields, ReadAs<ReadFlowHandover>},
     {Kind::kLivenessQuery, kLivenessQueryFields, ReadAs<ReadLivenessQuery>},
+    {Kind::kFlowOwner, kFlowOwnerFields, ReadAs<ReadFlowOwner>},
+    {Kind::kOverdueAgents, kOverdueAgentsFields, ReadAs<ReadOverdueAgents>},
+    {Kind::kStoppingAgents, kStoppingAgentsFields, ReadAs<ReadStoppingAgents>},
 };
 
 }  // namespace
--- a/src/libflow/upstreamflow.h
+++ b/src/libflow/upstreamflow.h
@@ -2,6 +2,7 @@
 #define FIREFLYTRESTLE_LIBFLOW_UPSTREAMFLOW_H_
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 #include "libbase/clock.h"
@@ -39,6 +40,8 @@
   bool caller_closed = false;
   /// A request was sent to the upstream, which has not begun to answer it.
   bool running = false;
+  /// Its number in RunningRequests.
+  std::uint64_t request = 0;
   /// When that request was sent to the upstream.
   TimePoint delivered{};
   std::uint32_t syn_sequence = 0;
@@ -46,11 +49,17 @@
   /// Sequence number after the caller's last data byte that was sent to the
   /// upstream.
   std::uint32_t data_sequence = 0;
+  /// Sequence number after the last request that waited until its caller's
+  /// time-out.
+  std::optional<std::uint32_t> expired_sequence;
   /// Last acknowledgment number from the caller.
   std::uint32_t acknowledgment = 0;
   /// Balancer that forwarded the caller's last packet.
   SocketAddress balancer;
   TimePoint opened{};
+  /// When the caller sent its first SYN, as far as the copy that opened the
+  /// flow tells.
+  TimePoint requested{};
   TimePoint last_packet{};
 };
 
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -46,7 +46,12 @@
     Output(FlowSite* site, SocketAddress self, Agent* agent)
         : m_site(site), m_self(self), m_agent(agent) {}
     void SendToNode(const SocketAddress& node,
-                    const NodeMessage& message) override {
+                    const NodeMessage& original) override {
+      NodeMessage message = original;
+      if (auto* report = std::get_if<AgentStatus>(&message);
+          report != nullptr && m_site->edit_report) {
+        m_site->edit_report(report);
+      }
       std::vector<std::uint8_t> bytes(2000);
       bytes.resize(EncodeNodeMessage(message, bytes));
       if (const auto* status = std::get_if<AgentStatus>(&message);
@@ -55,6 +60,10 @@
       }
       const bool is_packet = std::holds_alternative<DeliverMessage>(message);
       m_site->delivered += is_packet ? 1 : 0;
+      m_site->agents_queried +=
+          std::holds_alternative<FlowQuery>(message) && node.port == kAgentPort
+              ? 1
+              : 0;
       m_site->queried += std::holds_alternative<FlowQuery>(message) ? 1 : 0;
       m_site->liveness_queries +=
           std::holds_alternative<LivenessQuery>(message) ? 1 : 0;
@@ -201,12 +210,19 @@
     settings.service = agent.entry.service;
     settings.zone = agent.zone;
     settings.is_first_run = is_first_run;
+    settings.started = WallNow();
     settings.seeds = {{0x0A010001U, kNodePort}};
     agent.tracker = std::make_unique<FlowTracker>(
         settings, codec, agent.output.get(), clock.Now());
     agent.running = true;
   }
 
+  /// Time of day of all instances.
+  WallTime WallNow() const {
+    return std::chrono::time_point_cast<WallTime::duration>(
+        WallTime(std::chrono::hours(1000)) + clock.Now().time_since_epoch());
+  }
+
   /// Installs the current view at all running balancers, as the store would.
   void Publish() {
     view.upstreams.clear();
@@ -320,9 +336,12 @@
     return packet;
   }
 
-  void SendSyn(std::size_t balancer, const FlowTuple& tuple) {
+  void SendSyn(std::size_t balancer,
+               const FlowTuple& tuple,
+               std::uint32_t copy = 0) {
     FlowPacket packet = Packet(tuple);
     packet.syn = true;
+    packet.acknowledgment = copy;
     packet.sequence = 100;
     SendFromCaller(balancer, packet);
   }
@@ -407,8 +426,10 @@
   std::size_t caller_packets = 0;
   /// Number of callers' packets that balancers sent to agents.
   std::size_t delivered = 0;
-  /// Number of queries that balancers sent to agents.
+  /// Number of queries of balancers, to agents and other balancers.
   std::size_t queried = 0;
+  /// The queries among them that went to agents.
+  std::size_t agents_queried = 0;
   /// Number of queries whether an agent still runs.
   std::size_t liveness_queries = 0;
   /// Number of other messages between processes, by sender and by receiver.
@@ -425,6 +446,8 @@
                      const SocketAddress& to,
                      const AgentStatus& status)>
       on_report;
+  /// Changes each report before it is sent, if set.
+  std::function<void(AgentStatus* status)> edit_report;
   /// Called with each decision of a process, if set.
   std::function<void(const SocketAddress& self, const FlowDecision& decision)>
       on_decision;
--- a/tests/libflow/nodemessagecodectest.cpp
+++ b/tests/libflow/nodemessagecodectest.cpp
@@ -31,6 +31,7 @@
   status.new_balancers.assign(kMaxNewBalancers, {0xFFFFFFFF, 0xFFFF});
   status.report_interval = milliseconds(60000);
   status.number = 0xFFFFFFFFFFFFFFFF;
+  status.load = UpstreamLoad{std::chrono::hours(1), std::chrono::minutes(1)};
   return status;
 }
 
@@ -41,7 +42,7 @@
   DeliverMessage message;
   message.service = "counter";
   message.search = true;
-  message.flow_class = {true, false, milliseconds(120), milliseconds(800)};
+  message.flow_class = {true, false, milliseconds(120), milliseconds(800), 2};
   message.packet = packet;
   const std::vector<std::uint8_t> bytes = Encode(message);
   const auto decoded = DecodeNodeMessage(bytes);
@@ -89,6 +90,14 @@
     request.service = "counter";
     request.entry_revision = Revision{77};
   }
+  SUBCASE("from a balancer that reads the load") {
+    request.wants_load = true;
+  }
+  SUBCASE("with the service, from a balancer that reads the load") {
+    request.service = "counter";
+    request.entry_revision = Revision{77};
+    request.wants_load = true;
+  }
   const std::vector<std::uint8_t> bytes = Encode(request);
   const auto decoded = DecodeNodeMessage(bytes);
   REQUIRE(decoded);
@@ -97,6 +106,7 @@
   CHECK(read.interval == milliseconds(100));
   CHECK(read.service == request.service);
   CHECK(read.entry_revision == request.entry_revision);
+  CHECK(read.wants_load == request.wants_load);
 }
 
 TEST_CASE("a status is decoded with and without a report interval") {
@@ -124,6 +134,39 @@
   CHECK_FALSE(std::get<AgentStatus>(*unnumbered).report_interval);
 }
 
+TEST_CASE("a status is decoded with the load of its upstream") {
+  AgentStatus status;
+  status.report_interval = milliseconds(100);
+  status.number = 7;
+  status.load = UpstreamLoad{milliseconds(30), std::chrono::microseconds(4200)};
+  for (const bool needs_handover : {false, true}) {
+    status.needs_handover = needs_handover;
+    const auto decoded = DecodeNodeMessage(Encode(status));
+    REQUIRE(decoded);
+    CHECK(std::get<AgentStatus>(*decoded).load == status.load);
+    CHECK(std::get<AgentStatus>(*decoded).needs_handover == needs_handover);
+    CHECK(std::get<AgentStatus>(*decoded).number == 7);
+  }
+}
+
+// Guards against a report with impossible figures that draws all new flows to
+// an upstream, or none.
+TEST_CASE("a status with impossible figures is rejected") {
+  AgentStatus status;
+  status.report_interval = milliseconds(100);
+  status.load = UpstreamLoad{milliseconds(0), milliseconds(0)};
+  // The writer limits the work to 1 us, the last byte.
+  std::vector<std::uint8_t> bytes = Encode(status);
+  REQUIRE(DecodeNodeMessage(bytes));
+  bytes.back() = 0;
+  CHECK_FALSE(DecodeNodeMessage(bytes));
+  status.load = UpstreamLoad{milliseconds(0), std::chrono::minutes(1)};
+  bytes = Encode(status);
+  REQUIRE(DecodeNodeMessage(bytes));
+  ++bytes.back();
+  CHECK_FALSE(DecodeNodeMessage(bytes));
+}
+
 TEST_CASE("queries and their answers are decoded unchanged") {
   const FlowTuple tuple{{0xFFFFFFFF, 0xFFFF}, {1, 2}};
   const auto query = DecodeNodeMessage(Encode(FlowQuery{tuple, 77, true}));
@@ -134,6 +177,25 @@
   const auto liveness = DecodeNodeMessage(Encode(LivenessQuery{}));
   REQUIRE(liveness);
   CHECK(std::holds_alternative<LivenessQuery>(*liveness));
+  const SocketAddress agent{0xFFFFFFFF, 0xFFFF};
+  const auto owner = DecodeNodeMessage(Encode(FlowOwnerMessage{tuple, agent}));
+  REQUIRE(owner);
+  CHECK(std::get<FlowOwnerMessage>(*owner).tuple == tuple);
+  CHECK(std::get<FlowOwnerMessage>(*owner).agent == agent);
+  const OverdueAgents overdue{{kMaxOverdueAgents, agent}};
+  CHECK(Encode(overdue).size() <= 1400);
+  const auto overdue_read = DecodeNodeMessage(Encode(overdue));
+  REQUIRE(overdue_read);
+  CHECK(std::get<OverdueAgents>(*overdue_read).agents == overdue.agents);
+  const StoppingAgents stopping{
+      {kMaxOverdueAgents, {agent, Incarnation{0xFFFFFFFFFFFFFFFF}}}};
+  CHECK(Encode(stopping).size() <= 1400);
+  const auto stopping_read = DecodeNodeMessage(Encode(stopping));
+  REQUIRE(stopping_read);
+  const auto& agents = std::get<StoppingAgents>(*stopping_read).agents;
+  REQUIRE(agents.size() == kMaxOverdueAgents);
+  CHECK(agents.back().address == agent);
+  CHECK(agents.back().incarnation == Incarnation{0xFFFFFFFFFFFFFFFF});
   for (const bool is_certain : {false, true}) {
     for (const bool has_packet : {false, true}) {
       const auto answer = DecodeNodeMessage(
@@ -203,18 +265,25 @@
   std::mt19937_64 random(20261204);
   BalancerHeartbeat heartbeat;
   heartbeat.new_balancers = {{1, 2}};
+  BalancerHeartbeat started = heartbeat;
+  started.upstream_started = WallTime(std::chrono::hours(500'000));
   SharedChanges changes;
   changes.items = {{"servers/i-1", "{}", Revision{3}},
                    {"servers/i-2", std::nullopt, Revision{4}}};
   const std::vector<NodeMessage> messages = {
       DeliverMessage{"counter", false, {}, {}},
+      DeliverMessage{"counter", false, {.priority = 0}, {}},
       ReturnMessage{ReturnReason::kUpstreamFull, {}},
       FlowUnknownMessage{},
       FlowUnknownMessage{{}, false},
       FlowQuery{},
       LivenessQuery{},
+      FlowOwnerMessage{},
+      OverdueAgents{{{1, 2}}},
+      StoppingAgents{{{{1, 2}, Incarnation{3}}}},
       FlowHandover{"counter", Incarnation{1}, 2, 0, 1, true, {{}, {}}},
       heartbeat,
+      started,
       Status(2),
       changes,
       ReportRequest{"a-zone", milliseconds(100), "", Revision{}},
--- a/tests/libflow/orphanedflowstest.cpp
+++ b/tests/libflow/orphanedflowstest.cpp
@@ -82,6 +82,32 @@
   }
 }
 
+// Guards against seconds of silence after a loss of power: agents that cannot
+// know the flows of their upstreams pass the packets on to them instead of
+// answering.
+TEST_CASE(
+    "callers learn at their next packet that a loss of power ended flows") {
+  FlowSite site(2, 4);
+  OpenFlows(&site);
+  for (const auto& agent : site.agents) {
+    agent->upstream->Restart();
+    agent->entry.started_unix_ms =
+        static_cast<std::uint64_t>(site.WallNow().time_since_epoch().count());
+    agent->entry.cold_left = milliseconds(2000);
+    site.BumpRevision(agent.get());
+  }
+  RestartProcesses(&site, site.agents.size());
+  site.Run(milliseconds(200));
+  const std::size_t delivered = site.delivered;
+  for (std::uint32_t caller = 1; caller <= kCallers; ++caller) {
+    site.SendRequest(caller % 2, FlowSite::Tuple(caller), 2);
+  }
+  for (std::uint32_t caller = 1; caller <= kCallers; ++caller) {
+    CHECK(site.ResetsOf(FlowSite::Tuple(caller)) == 1);
+  }
+  CHECK(site.delivered == delivered);
+}
+
 TEST_CASE("flows of running upstreams survive a kill of all other processes") {
   FlowSite site(2, 4);
   OpenFlows(&site);
@@ -166,6 +192,20 @@
   }
 }
 
+// Guards against lost flows whose callers are told too late or never, because a
+// search waits for the answer of a balancer that has ended, too.
+TEST_CASE("a search waits for a balancer that has ended for 450 ms at most") {
+  FlowSite site(2, 4);
+  site.Run(milliseconds(2000));
+  site.balancers[1]->running = false;
+  const FlowTuple tuple = SendOrphanedPacket(&site);
+  CHECK(site.ResetsOf(tuple) == 0);
+  site.Run(milliseconds(450));
+  CHECK(site.ResetsOf(tuple) == 1);
+  // Later searches do not wait for it.
+  CHECK(site.ResetsOf(SendOrphanedPacket(&site, 1)) == 1);
+}
+
 TEST_CASE("pattern: after an outage of everything few flows are searched for") {
   // Searching 60 agents for each flow would use up the links of the balancers
   // while callers reconnect.
@@ -200,6 +240,34 @@
   CHECK(site.AnswersTo(fresh) == 2);
 }
 
+// Guards against agents that are kept busy by hundreds of searches while the
+// first ones would show that all flows are lost.
+TEST_CASE("pattern: agents that answer late after an outage get few searches") {
+  constexpr std::size_t kAgents = 60;
+  FlowSite site(2, kAgents);
+  for (const auto& agent : site.agents) {
+    agent->upstream->Restart();
+    agent->entry.started_unix_ms =
+        static_cast<std::uint64_t>(site.WallNow().time_since_epoch().count());
+    agent->entry.cold_left = milliseconds(4000);
+    site.BumpRevision(agent.get());
+  }
+  RestartProcesses(&site, kAgents);
+  site.Run(milliseconds(200));
+  site.agents_queried = 0;
+  site.delay = [](const SocketAddress&, const SocketAddress&) {
+    return milliseconds(100);
+  };
+  for (std::uint32_t number = 0; number < 100; ++number) {
+    SendOrphanedPacket(&site, number);
+  }
+  site.Run(milliseconds(400));
+  CHECK(site.agents_queried <= 12 * kAgents);
+  for (std::uint32_t number = 0; number < 100; ++number) {
+    CHECK(site.ResetsOf(FlowSite::Tuple(900 + number)) == 1);
+  }
+}
+
 TEST_CASE("a search that is deferred twice ends once") {
   constexpr std::size_t kAgents = 60;
   FlowSite site(2, kAgents);
