Mend faults that the reviews of the load and the flow-loss code found

Each was derived by reading; those with a test were seen there first.

- Requests that wait when their upstream closes the flow are dropped: it would reset them, which counted as failures of a healthy upstream.
- A request without an answer counts as one failure, not once every 200 ms.
- Answers read together after a pause of the agent give no estimate of work 0, and an estimate of 0 recovers.
- A flow that the agent knows from its upstream's packets gets its class with the caller's first packet.
- Estimates of work are limited to half of a time-out, and an unknown objective is the time-out, so that no class is refused for good.
- A late copy of a given-up request is dropped only while requests have to wait.
- A balancer that was paused does not take the others for ended.
- While a balancer is known that has run since long before, no outage is assumed.
- A handover with flows shows that an upstream is older than its start time says.
- A named owner that does not report is asked again, and given up after 6 s.

--- a/src/libflow/flowknowledge.h
+++ b/src/libflow/flowknowledge.h
@@ -48,7 +48,7 @@
   void OnHandover(const FlowHandover& handover);
 
   /// Records that the upstream does not run, so that it holds no flow.
-  void OnUpstreamAbsent();
+  void OnUpstreamAbsent() { m_is_upstream_new = true; }
 
   /// Whether a flow that the agent does not know is not held by the upstream.
   bool IsComplete(TimePoint now) const;
@@ -60,9 +60,11 @@
   bool NeedsHandover(TimePoint now) const;
 
  private:
-  bool m_is_complete;
+  bool m_is_handover_complete = false;
   /// The upstream holds no flow from before the agent's run.
   bool m_is_upstream_new;
+  /// An earlier run has sent flows to the upstream.
+  bool m_had_earlier_run = false;
   bool m_has_handover = false;
   std::chrono::milliseconds m_flow_lifetime;
   WallTime m_wall_started;
--- a/src/libflow/flowlossdetector.cpp
+++ b/src/libflow/flowlossdetector.cpp
@@ -59,7 +59,7 @@
 }
 
 bool FlowLossDetector::IsRecovering(TimePoint now) const {
-  if (now - m_first_view >= kRecoveryTime) {
+  if (m_has_older_balancer || now - m_first_view >= kRecoveryTime) {
     return false;
   }
   // Flows that opened after the processes restarted do not show whether older
--- a/src/libflow/flowlossdetector.h
+++ b/src/libflow/flowlossdetector.h
@@ -34,6 +34,10 @@
   /// Records that the store confirmed the view as of \p at.
   void ConfirmView(TimePoint at) { m_view_confirmed = at; }
 
+  /// Records that a balancer has run since long before this one, so that no
+  /// outage has ended all processes.
+  void OnOlderBalancer() { m_has_older_balancer = true; }
+
   /// Records a flow that none of the reporting agents holds.
   void OnOrphanedFlow(const FlowTuple& tuple);
 
@@ -70,6 +74,7 @@
   /// Flows without an owner, up to the number that AreAllFlowsLost() needs.
   std::unordered_set<FlowTuple, FlowTupleHash> m_orphaned_flows;
   std::size_t m_searches = 0;
+  bool m_has_older_balancer = false;
 };
 
 }  // namespace fireflytrestle
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -64,6 +64,9 @@
 /// A balancer that has named the owner of a flow is asked again after this
 /// time, in case the owner is still away.
 constexpr milliseconds kOwnerQueryInterval{500};
+/// An agent that another balancer has named, and that does not report, is
+/// waited for no longer than a planned restart takes.
+constexpr milliseconds kNamedOwnerTimeout{6000};
 /// Number of balancers that are asked about overdue agents at each tick. An
 /// agent is asked twice before it counts as silent, so that six hear of it.
 constexpr std::size_t kMaxPeersAboutOverdue = 3;
@@ -683,9 +686,15 @@
     return !m_peers.Contains(peer);
   });
   const AgentPeerPtr named = m_agents.Find(entry->named_owner);
-  const bool awaits_named =
-      entry->named_owner != SocketAddress{} && !(named && named->last_report());
+  const bool awaits_named = entry->named_owner != SocketAddress{} &&
+                            !(named && named->last_report()) &&
+                            now - entry->placed < kNamedOwnerTimeout;
   if (pending.empty()) {
+    if (awaits_named && repeats) {
+      entry->peers_queried = now;
+      m_output->SendToNode(entry->named_owner,
+                           FlowQuery{tuple, entry->acknowledgment});
+    }
     return !awaits_named;
   }
   if (!is_first && age < kQueryTimeout) {
@@ -794,7 +803,9 @@
     if (greeting->incarnation == m_settings.incarnation) {
       m_peers.SetSelf(source);
     } else {
+      // Only balancers that have run for a while send greetings.
       m_peers.OnMessage(source);
+      m_loss_detector.OnOlderBalancer();
     }
   } else {
     Report(Kind::kDropped, {}, nullptr, "unexpected_message", now);
@@ -1131,6 +1142,7 @@
 }
 
 void FlowRouter::OnTick(TimePoint now) {
+  m_peers.OnTick(now);
   ProcessPendingPackets(now);
   for (const AgentPeerPtr& agent : m_failure_detector.OnTick(m_agents, now)) {
     Report(Kind::kPeerSilent, {}, agent.get(), "no_report", now);
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -341,8 +341,8 @@
     flow.expired_sequence.reset();
     flow.flow_class = message.flow_class;
     flow.data_sequence = packet.sequence - 1;
-  } else if (flow.state == State::kRestored &&
-             flow.balancer == SocketAddress{}) {
+  } else if (flow.balancer == SocketAddress{}) {
+    // The agent knows the flow from a handover or from its upstream's packets.
     flow.flow_class = message.flow_class;
     flow.data_sequence = packet.sequence - 1;
   }
@@ -411,7 +411,8 @@
     }
     return;
   }
-  if (flow->expired_sequence && !IsAfter(end, *flow->expired_sequence)) {
+  if (flow->expired_sequence && !IsAfter(end, *flow->expired_sequence) &&
+      m_pending_requests.MustWait(m_running)) {
     // A late copy of a request that was given up would count as a new one.
     Report(Kind::kDropped, tuple, flow->balancer, "caller_gave_up");
     return;
@@ -583,6 +584,8 @@
   if (packet->fin || packet->reset) {
     flow.state = State::kClosing;
     EndRequest(&flow);
+    // The upstream would reset a request that still waits.
+    m_pending_requests.Erase(tuple);
   }
   m_output->SendToCaller(tuple.caller, datagram);
   ReleaseRequests(now);
--- a/src/libflow/peerbalancertable.cpp
+++ b/src/libflow/peerbalancertable.cpp
@@ -13,6 +13,7 @@
 /// hears this one announced for 1 s at least. Without this limit, balancers
 /// that start together would send each other greetings.
 constexpr std::chrono::milliseconds kMinAge{2000};
+constexpr std::chrono::milliseconds kPauseThreshold{200};
 
 }  // namespace
 
@@ -65,6 +66,16 @@
   return position != m_peers.end() && position->second.unanswered_queries > 0;
 }
 
+void PeerBalancerTable::OnTick(TimePoint now) {
+  if (now - m_last_tick > kPauseThreshold) {
+    for (auto& [address, peer] : m_peers) {
+      peer.unanswered_since = {};
+      peer.unanswered_queries = 0;
+    }
+  }
+  m_last_tick = now;
+}
+
 void PeerBalancerTable::Prune(TimePoint now) {
   std::erase_if(m_peers, [&](const auto& item) {
     const Peer& peer = item.second;
--- a/src/libflow/peerbalancertable.h
+++ b/src/libflow/peerbalancertable.h
@@ -44,6 +44,10 @@
   /// Whether the balancer has sent no message since the last query.
   bool IsUnanswered(const SocketAddress& address) const;
 
+  /// Called every 50 ms. After a longer gap this process was paused, and the
+  /// answers to its queries have not been read yet.
+  void OnTick(TimePoint now);
+
   /// Removes the balancers that no longer answer.
   void Prune(TimePoint now);
 
@@ -65,6 +69,7 @@
   };
 
   TimePoint m_started;
+  TimePoint m_last_tick{};
   std::map<SocketAddress, Peer> m_peers;
   /// The unspecified address before it is known.
   SocketAddress m_self;
--- a/src/libflow/pendingrequestqueue.cpp
+++ b/src/libflow/pendingrequestqueue.cpp
@@ -23,14 +23,21 @@
                                           TimePoint now) const {
   return MayWait(flow_class) &&
          ShedPolicy::HasRoomFor(
-             {flow_class, Duration{}, m_work.Expected(flow_class)},
+             {flow_class, Duration{}, ExpectedWork(flow_class)},
              DescribeAll(now), CapacityBeside(running), kMaxWaitShare);
 }
 
+Duration PendingRequestQueue::ExpectedWork(const FlowClass& flow_class) const {
+  const Duration work = m_work.Expected(flow_class);
+  return flow_class.timeout.count() > 0
+             ? std::min<Duration>(work, flow_class.timeout / 2)
+             : work;
+}
+
 ShedPolicy::Request PendingRequestQueue::Describe(const Request& request,
                                                   TimePoint now) const {
   return {request.flow_class, now - request.arrived,
-          m_work.Expected(request.flow_class)};
+          ExpectedWork(request.flow_class)};
 }
 
 std::vector<ShedPolicy::Request> PendingRequestQueue::DescribeAll(
--- a/src/libflow/pendingrequestqueue.h
+++ b/src/libflow/pendingrequestqueue.h
@@ -94,6 +94,9 @@
   std::array<std::uint32_t, kMaxPriority + 1> CountByPriority() const;
 
  private:
+  /// Returns the expected work of a request, at most half of its time-out: a
+  /// class that is never tried would keep an estimate that is too long.
+  Duration ExpectedWork(const FlowClass& flow_class) const;
   ShedPolicy::Request Describe(const Request& request, TimePoint now) const;
   std::vector<ShedPolicy::Request> DescribeAll(TimePoint now) const;
   ShedPolicy::Capacity CapacityBeside(std::size_t running) const;
--- a/src/libflow/recentwork.cpp
+++ b/src/libflow/recentwork.cpp
@@ -9,6 +9,9 @@
 /// Samples are limited to this multiple of the average: few requests take many
 /// times the mean, and one of them must not make the upstream seem slow.
 constexpr int kMaxSampleFactor = 5;
+/// Shorter samples are never cut: after some of 0, as of answers that are read
+/// in one turn, all would be.
+constexpr std::chrono::milliseconds kMinLimit{1};
 /// Weight of one sample, as 1 / n.
 constexpr int kSamples = 32;
 /// Samples at longer intervals have more weight, so that a change of speed is
@@ -23,7 +26,10 @@
     m_samples = 0;
   }
   const Duration limited =
-      m_samples == 0 ? work : std::min(work, m_average * kMaxSampleFactor);
+      m_samples == 0
+          ? work
+          : std::min(work, std::max<Duration>(m_average * kMaxSampleFactor,
+                                              kMinLimit));
   const Duration interval =
       std::max(now - m_last_answer, Duration(kChangeTime) / kSamples);
   const auto by_interval = static_cast<int>(kChangeTime / interval);
--- a/src/libflow/runningrequests.cpp
+++ b/src/libflow/runningrequests.cpp
@@ -26,7 +26,7 @@
 }  // namespace
 
 std::uint64_t RunningRequests::Add(const FlowClass& flow_class, TimePoint now) {
-  Request request{++m_last_number, flow_class, std::nullopt, false, 0};
+  Request request{++m_last_number, flow_class, std::nullopt, false, false};
   if (m_started < m_slots) {
     request.started = now;
     request.counts_as_failure = true;
@@ -45,13 +45,14 @@
     return std::nullopt;
   }
   const std::optional<TimePoint> started = position->started;
+  const bool is_distorted = position->is_distorted;
   m_requests.erase(position);
   if (!started) {
     return std::nullopt;
   }
   --m_started;
   StartNext(now);
-  return now - *started;
+  return is_distorted ? std::nullopt : std::optional(now - *started);
 }
 
 void RunningRequests::StartNext(TimePoint now) {
@@ -99,8 +100,8 @@
     const Duration limit = std::max<Duration>(
         {estimator.Expected(each.flow_class) * kFailureFactor,
          each.flow_class.latency_objective, kMinFailureTime});
-    if (now - *each.started >= limit * (each.failures + 1)) {
-      ++each.failures;
+    if (now - *each.started >= limit) {
+      each.counts_as_failure = false;
       ++count;
     }
   }
@@ -110,6 +111,7 @@
 void RunningRequests::OnPause(TimePoint now) {
   for (Request& each : m_requests) {
     each.counts_as_failure = false;
+    each.is_distorted = true;
     if (each.started) {
       each.started = now;
     }
--- a/src/libflow/runningrequests.h
+++ b/src/libflow/runningrequests.h
@@ -36,10 +36,10 @@
                 Duration queued_work,
                 TimePoint now) const;
 
-  /// Returns how often a request has been without an answer for too long since
+  /// Returns how many requests have been without an answer for too long since
   /// the last call, which is due every 50 ms. Only requests count that the
-  /// upstream could start at once: others may have waited for their slot. One
-  /// request counts again for each further time of this length.
+  /// upstream could start at once: others may have waited for their slot. Each
+  /// counts once.
   int TakeUnanswered(const WorkEstimator& estimator, TimePoint now);
 
   /// The agent was paused: the time of present requests says nothing about the
@@ -52,8 +52,10 @@
     FlowClass flow_class;
     /// When the upstream began to work on the request; empty if it waits.
     std::optional<TimePoint> started;
+    /// Whether a missing answer counts as a failure, and has not yet.
     bool counts_as_failure = false;
-    int failures = 0;
+    /// The agent was paused while the upstream worked on it.
+    bool is_distorted = false;
   };
 
   void StartNext(TimePoint now);
--- a/src/libflow/shedpolicy.cpp
+++ b/src/libflow/shedpolicy.cpp
@@ -27,7 +27,8 @@
 
 Duration DeadlineOf(const Request& request, Goal goal, double time_share) {
   const FlowClass& flow_class = request.flow_class;
-  const Duration limit = goal == Goal::kObjective
+  const bool has_objective = flow_class.latency_objective.count() > 0;
+  const Duration limit = goal == Goal::kObjective && has_objective
                              ? flow_class.latency_objective
                              : std::chrono::duration_cast<Duration>(
                                    flow_class.timeout * time_share);
--- a/tests/libflow/handovertest.cpp
+++ b/tests/libflow/handovertest.cpp
@@ -106,6 +106,20 @@
   }
 }
 
+// Guards against a reset of open flows (FLOW) after a step of the clock: the
+// upstream seems to have started after the agent's run.
+TEST_CASE("a handover with flows shows that the upstream is older") {
+  const TimePoint start{std::chrono::seconds(100)};
+  const WallTime wall_start{std::chrono::hours(1000)};
+  FlowKnowledge knowledge(false, kFlowLifetime, wall_start, start);
+  REQUIRE(knowledge.OnUpstreamStarted(wall_start + milliseconds(5000)));
+  FlowHandover handover = Part(1, 0);
+  handover.flows.resize(1);
+  knowledge.OnHandover(handover);
+  CHECK_FALSE(knowledge.IsComplete(start));
+  CHECK_FALSE(knowledge.OnUpstreamStarted(wall_start + milliseconds(5000)));
+}
+
 // Guards against a reset of open flows (FLOW): a run gets the handover of one
 // that is not the run before it, and takes the flows of that one for absent.
 TEST_CASE("a handover is for the next run only") {
--- a/tests/libflow/orphanedflowstest.cpp
+++ b/tests/libflow/orphanedflowstest.cpp
@@ -49,12 +49,14 @@
 }
 
 /// Sends a packet of a flow that no upstream holds.
-FlowTuple SendOrphanedPacket(FlowSite* site, std::uint32_t number = 0) {
+FlowTuple SendOrphanedPacket(FlowSite* site,
+                             std::uint32_t number = 0,
+                             std::size_t balancer = 0) {
   const FlowTuple tuple = FlowSite::Tuple(900 + number);
   FlowPacket packet = FlowSite::Packet(tuple);
   packet.ack = true;
   packet.data_bytes = 10;
-  site->SendFromCaller(0, packet);
+  site->SendFromCaller(balancer, packet);
   return tuple;
 }
 
@@ -240,6 +242,23 @@
   CHECK(site.AnswersTo(fresh) == 2);
 }
 
+// Guards against FLOW: a balancer that is restarted as planned resets flows of
+// agents that are being restarted, too, since no other upstream has old ones.
+TEST_CASE(
+    "flows are not lost together while another balancer has kept running") {
+  FlowSite site(1, 4);
+  site.Run(milliseconds(3000));
+  site.AddBalancer();
+  site.Publish();
+  site.Run(milliseconds(400));
+  site.agents[0]->running = false;
+  for (std::uint32_t number = 0; number < 20; ++number) {
+    SendOrphanedPacket(&site, number, 1);
+    site.Run(milliseconds(20));
+  }
+  CHECK(site.resets.empty());
+}
+
 // Guards against agents that are kept busy by hundreds of searches while the
 // first ones would show that all flows are lost.
 TEST_CASE("pattern: agents that answer late after an outage get few searches") {
--- a/tests/libflow/sheddingtest.cpp
+++ b/tests/libflow/sheddingtest.cpp
@@ -54,6 +54,32 @@
   CHECK(started[6].source == late.caller);
 }
 
+TEST_CASE("a request on a flow that its upstream closes is no failure") {
+  // Guards against a healthy upstream that counts as failing: it resets the
+  // requests that waited when it closed their flows.
+  FlowSite site(1, 1, 2);
+  FlowSite::Agent& agent = *site.agents[0];
+  agent.upstream->resets_unknown = true;
+  for (std::uint32_t caller = 1; caller <= 12; ++caller) {
+    site.SendSyn(0, FlowSite::Tuple(caller));
+  }
+  for (std::uint32_t caller = 1; caller <= 12; ++caller) {
+    site.SendRequest(0, FlowSite::Tuple(caller));
+  }
+  for (std::uint32_t caller = 6; caller <= 12; ++caller) {
+    const FlowTuple tuple = FlowSite::Tuple(caller);
+    agent.upstream->flows.erase(tuple);
+    FlowPacket fin;
+    fin.source = tuple.route;
+    fin.destination = tuple.caller;
+    fin.fin = true;
+    std::vector<std::uint8_t> bytes = PlainCodec::Encode(fin);
+    agent.tracker->OnUpstreamPacket(bytes, site.clock.Now());
+  }
+  site.Run(milliseconds(500));
+  CHECK(site.Decisions("upstream_failing requests_reset") == 0);
+}
+
 TEST_CASE("a request that waited until its time-out never runs") {
   // Guards against a late copy of a request that was given up: it would count
   // as a new one and take a slot, although nobody waits for its answer.
--- a/tests/libflow/upstreamloadtest.cpp
+++ b/tests/libflow/upstreamloadtest.cpp
@@ -305,6 +305,48 @@
   CHECK(requests.Wait(estimator, 0, {}, clock.Now()) >= milliseconds(300));
 }
 
+// Guards against one caller who vanishes in the middle of a request and makes a
+// healthy upstream count as failing.
+TEST_CASE("a request without an answer counts as one failure") {
+  ManualClock clock;
+  WorkEstimator estimator;
+  for (int i = 0; i < 20; ++i) {
+    estimator.OnAnswer(kShort, milliseconds(20));
+  }
+  RunningRequests requests;
+  requests.SetSlots(2);
+  requests.Add(kShort, clock.Now());
+  int failures = 0;
+  for (int i = 0; i < 60; ++i) {
+    clock.Advance(milliseconds(50));
+    failures += requests.TakeUnanswered(estimator, clock.Now());
+  }
+  CHECK(failures == 1);
+}
+
+// Guards against an upstream that seems infinitely fast for good after a pause
+// of its agent.
+TEST_CASE("answers that are read together after a pause give no estimate") {
+  ManualClock clock;
+  RunningRequests requests;
+  requests.SetSlots(2);
+  const auto running = requests.Add(kShort, clock.Now());
+  clock.Advance(milliseconds(2000));
+  requests.OnPause(clock.Now());
+  CHECK_FALSE(requests.Remove(running, clock.Now()));
+  RecentWork work;
+  for (int i = 0; i < 5; ++i) {
+    work.OnAnswer(milliseconds(0), clock.Now());
+  }
+  for (int i = 0; i < 100; ++i) {
+    clock.Advance(milliseconds(20));
+    work.OnAnswer(milliseconds(20), clock.Now());
+  }
+  const auto average = work.Average(clock.Now());
+  REQUIRE(average);
+  CHECK(*average >= milliseconds(15));
+}
+
 // Guards against a queue at a healthy upstream that is taken for a fault.
 TEST_CASE("a long queue at an upstream is no failure") {
   ManualClock clock;
