--- a/tests/libflow/sheddingtest.cpp
+++ b/tests/libflow/sheddingtest.cpp
@@ -66,6 +66,10 @@
   for (std::uint32_t caller = 1; caller <= 12; ++caller) {
     site.SendRequest(0, FlowSite::Tuple(caller));
   }
+  site.Run(milliseconds(500));
+  for (std::uint32_t caller = 1; caller <= 12; ++caller) {
+    site.SendRequest(0, FlowSite::Tuple(caller), 2);
+  }
   for (std::uint32_t caller = 6; caller <= 12; ++caller) {
     const FlowTuple tuple = FlowSite::Tuple(caller);
     agent.upstream->flows.erase(tuple);
