Hold a checked configuration by pointer

The build with sanitizers failed: g++ 12 takes a member of a moved variant in a boost::leaf::result for uninitialized there. The decoded configuration is now shared by pointer and never moved as a variant. The build passes; libctl's 25 tests pass.

--- a/src/libctl/checkcommand.cpp
+++ b/src/libctl/checkcommand.cpp
@@ -39,34 +39,32 @@
       m_against(std::move(against)) {}
 
 void CheckCommand::Run() {
-  ConfigurationFileReader::Content content;
-  const bool valid = Read(m_path, &content);
-  if (valid) {
+  const ConfigurationFileReader::ContentPtr content = Read(m_path);
+  if (content) {
     std::visit([this](const auto& each) { CheckSettings(each, &m_report); },
-               content);
+               *content);
   }
-  ConfigurationFileReader::Content in_force;
-  if (!m_against.empty() && Read(m_against, &in_force) && valid) {
-    Compare(in_force, content);
+  const ConfigurationFileReader::ContentPtr in_force =
+      m_against.empty() ? nullptr : Read(m_against);
+  if (in_force && content) {
+    Compare(*in_force, *content);
   }
 }
 
-bool CheckCommand::Read(const std::string& path,
-                        ConfigurationFileReader::Content* content) {
+ConfigurationFileReader::ContentPtr CheckCommand::Read(
+    const std::string& path) {
+  using ContentPtr = ConfigurationFileReader::ContentPtr;
   return boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<bool> {
-        BOOST_LEAF_ASSIGN(*content, m_reader.Read(path));
-        return true;
-      },
-      [this](const std::vector<Fault>& faults) {
+      [&] { return m_reader.Read(path); },
+      [this](const std::vector<Fault>& faults) -> ContentPtr {
         m_report.errors.insert(m_report.errors.end(), faults.begin(),
                                faults.end());
-        return false;
+        return nullptr;
       },
-      [this, &path] {
+      [this, &path]() -> ContentPtr {
         m_report.errors.push_back({path, "an error without details occurred",
                                    "report it with the file"});
-        return false;
+        return nullptr;
       });
 }
 
--- a/src/libctl/checkcommand.h
+++ b/src/libctl/checkcommand.h
@@ -30,9 +30,9 @@
   std::string FormatJson() const;
 
  private:
-  /// Returns whether \p path could be decoded; otherwise its faults are errors
-  /// of the report.
-  bool Read(const std::string& path, ConfigurationFileReader::Content* content);
+  /// Returns null if \p path cannot be decoded; its faults are then errors of
+  /// the report.
+  ConfigurationFileReader::ContentPtr Read(const std::string& path);
 
   void Compare(const ConfigurationFileReader::Content& from,
                const ConfigurationFileReader::Content& to);
--- a/src/libctl/configurationfilereader.cpp
+++ b/src/libctl/configurationfilereader.cpp
@@ -16,7 +16,7 @@
                                                  std::string key)
     : m_decoder(decoder), m_key(std::move(key)) {}
 
-boost::leaf::result<ConfigurationFileReader::Content>
+boost::leaf::result<ConfigurationFileReader::ContentPtr>
 ConfigurationFileReader::Read(const std::string& path) const {
   BOOST_LEAF_AUTO(text, ReadTextFile(path));
   if (text.find_first_not_of(" \t\r\n") == std::string::npos) {
@@ -26,15 +26,16 @@
             {path, "it is empty", "check that it is the right file"}});
   }
   std::vector<Fault> faults;
-  boost::leaf::result<Content> content = boost::leaf::try_handle_some(
+  boost::leaf::result<ContentPtr> content = boost::leaf::try_handle_some(
       [&] { return Decode(text); },
-      [&faults](const boost::leaf::error_info& error,
-                const std::vector<Fault>& all) -> boost::leaf::result<Content> {
+      [&faults](
+          const boost::leaf::error_info& error,
+          const std::vector<Fault>& all) -> boost::leaf::result<ContentPtr> {
         faults = all;
         return error.error();
       },
       [&faults](const boost::leaf::error_info& error,
-                const Fault& fault) -> boost::leaf::result<Content> {
+                const Fault& fault) -> boost::leaf::result<ContentPtr> {
         faults.push_back(fault);
         return error.error();
       });
@@ -52,16 +53,16 @@
                                 std::move(faults));
 }
 
-boost::leaf::result<ConfigurationFileReader::Content>
+boost::leaf::result<ConfigurationFileReader::ContentPtr>
 ConfigurationFileReader::Decode(const std::string& text) const {
   if (IsDocument(text)) {
     BOOST_LEAF_AUTO(document, ReadDocument(text));
     BOOST_LEAF_AUTO(configuration, FromDocument(document));
-    return Content(std::move(configuration));
+    return std::make_shared<const Content>(std::move(configuration));
   }
   BOOST_LEAF_AUTO(record, m_decoder->Decode(m_key, text));
   if (auto* configuration = std::get_if<SiteConfiguration>(&record)) {
-    return Content(std::move(*configuration));
+    return std::make_shared<const Content>(std::move(*configuration));
   }
   return boost::leaf::new_error(
       ErrorCode::kInvalidConfiguration,
--- a/src/libctl/configurationfilereader.h
+++ b/src/libctl/configurationfilereader.h
@@ -2,6 +2,7 @@
 #define FIREFLYTRESTLE_LIBCTL_CONFIGURATIONFILEREADER_H_
 
 #include <boost/leaf/result.hpp>
+#include <memory>
 #include <string>
 #include <variant>
 
@@ -17,15 +18,16 @@
 class ConfigurationFileReader {
  public:
   using Content = std::variant<Configuration, SiteConfiguration>;
+  using ContentPtr = std::shared_ptr<const Content>;
 
   /// The platform's form is decoded by \p decoder as the item with key \p key.
   ConfigurationFileReader(const RecordDecoder* decoder, std::string key);
 
   /// Fails with a std::vector<Fault>, whose sources include the file name.
-  boost::leaf::result<Content> Read(const std::string& path) const;
+  boost::leaf::result<ContentPtr> Read(const std::string& path) const;
 
  private:
-  boost::leaf::result<Content> Decode(const std::string& text) const;
+  boost::leaf::result<ContentPtr> Decode(const std::string& text) const;
 
   const RecordDecoder* m_decoder;
   std::string m_key;
