Do not reset a flow that has moved to another balancer when its agent falls silent

What callers saw: an open flow of a sound upstream is reset by a balancer that no longer carries it (FLOW), if that balancer misses the agent's reports.

Cause: a balancer that has once had a caller's packet of a flow keeps it as one of its own, and resets it when the agent falls silent there, although the flow's packets go through another balancer that hears the agent.

Agents report a flow again when its packets come through another balancer. A report of a known flow that comes 200 ms or more after the last packet here now ends that: the balancer that carries the flow decides.

--- a/src/libflow/flowownertable.h
+++ b/src/libflow/flowownertable.h
@@ -27,7 +27,8 @@
 
   State state = State::kOpening;
   FlowClass flow_class;
-  /// This balancer has received packets of the flow from the caller.
+  /// The flow's packets come from the caller to this balancer, as far as is
+  /// known.
   bool has_caller_packets = false;
   /// Sequence number of the SYN; distinguishes a copy of the SYN from a new
   /// flow on a reused port.
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -28,6 +28,10 @@
 /// Callers send a copy of a SYN no sooner than this; if it has not arrived
 /// here, another balancer may have got it.
 constexpr milliseconds kFirstCopyTime{200};
+/// Agents report a flow within 100 ms of its opening, and again when its
+/// packets come through another balancer. A report that comes this long after
+/// the last packet here means that the flow has moved.
+constexpr milliseconds kMovedFlowTime{200};
 /// The next stage of a search begins after this time if the present one has not
 /// ended: an agent answers a query within milliseconds.
 constexpr milliseconds kStageTimeout{30};
@@ -1101,6 +1105,8 @@
       }
     } else if (entry->state == State::kSearching) {
       Report(Kind::kFound, held.tuple, agent.get(), "report", now);
+    } else if (now - entry->last_packet >= kMovedFlowTime) {
+      entry->has_caller_packets = false;
     }
     entry->state = State::kOpen;
     entry->owner = agent;
--- a/tests/libflow/agentfailuretest.cpp
+++ b/tests/libflow/agentfailuretest.cpp
@@ -61,6 +61,29 @@
   }
 }
 
+// Guards against a reset of an open flow (FLOW) by a balancer that no longer
+// carries it and that gets no reports of its agent, which runs.
+TEST_CASE("a balancer does not reset a flow that has moved to another one") {
+  FlowSite site(2, 3);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  site.Run(milliseconds(300));
+  for (std::uint32_t request = 2; request < 20; ++request) {
+    site.SendRequest(1, tuple, request);
+    site.Run(milliseconds(200));
+  }
+  const SocketAddress owner = site.OwnerOf(tuple)->address;
+  const SocketAddress before = site.balancers[0]->address;
+  site.is_lost = [&](const SocketAddress& from, const SocketAddress& to) {
+    return from == owner && to == before;
+  };
+  site.Run(milliseconds(2000));
+  CHECK(site.resets.empty());
+  site.SendRequest(1, tuple, 20);
+  site.Run(milliseconds(200));
+  CHECK(site.AnswersTo(tuple) == 20);
+}
+
 // Guards against callers that learn of a lost agent too late to try again,
 // because the balancer asks the agent first.
 TEST_CASE("the flows of a lost agent are reset in time at every moment") {
