Go on with searches when agents learn that their upstreams are new

After a loss of power callers waited for the end of a search until their next packet, 200 ms or more later, although agents could answer by then. Cause: an agent that starts before the store has the new entry of its upstream answers "not known"; the balancer kept that answer until the next packet of the flow.

The balancer now asks such an agent again as soon as its report no longer needs a handover, and the agent sends that report at once when it learns of the start of its upstream. An answer is asked for again only after the agent has said that it knows more, so no more queries are sent while nothing changes.

--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -88,6 +88,10 @@
   /// and would have got one by now if it had been stopped as planned before.
   bool LacksHandover(TimePoint now) const;
 
+  /// Whether the agent needed a handover at its last report: it does not know
+  /// whether its upstream holds flows from before its run.
+  bool needs_handover() const { return m_needs_handover; }
+
   /// Whether this balancer keeps the handover of the agent's last run, from
   /// OnHandover() until the next run is heard.
   void OnHandover() { m_keeps_handover = true; }
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -992,6 +992,7 @@
   const AgentPhase phase = before ? before->phase() : AgentPhase::kServing;
   const Incarnation incarnation =
       before ? before->incarnation() : Incarnation{};
+  const bool was_unsure = before && before->needs_handover();
   const AgentPeerPtr agent = m_agents.OnStatus(source, status, now);
   const bool was_silent = agent->silent();
   if (!before || was_silent) {
@@ -1011,6 +1012,8 @@
   }
   if (status.needs_handover) {
     ReturnFlows(agent, status, is_new_run);
+  } else if (was_unsure) {
+    AskAgain(agent, now);
   }
   if (phase != status.phase) {
     Report(Kind::kPeerPhase, {}, agent.get(), ToString(status.phase), now);
@@ -1038,6 +1041,16 @@
   }
 }
 
+void FlowRouter::AskAgain(const AgentPeerPtr& agent, TimePoint now) {
+  for (auto& [tuple, entry] : m_flows.flows()) {
+    if (entry.state == State::kSearching &&
+        Remove(&entry.unsure_agents, agent)) {
+      entry.pending_agents.push_back(agent);
+      AskAgents(tuple, {agent}, &entry, now);
+    }
+  }
+}
+
 std::vector<ReportedFlow> FlowRouter::WithoutKnown(
     std::vector<ReportedFlow> flows) {
   std::erase_if(flows, [&](const ReportedFlow& flow) {
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -208,6 +208,9 @@
                    bool is_new_run);
   /// Asks an agent that has become known for the flows that are searched for.
   void AskInSearches(const AgentPeerPtr& agent, TimePoint now);
+  /// Asks an agent again that did not know whether it holds the flows that are
+  /// searched for.
+  void AskAgain(const AgentPeerPtr& agent, TimePoint now);
   /// Returns those of \p flows that are unknown or searched for.
   std::vector<ReportedFlow> WithoutKnown(std::vector<ReportedFlow> flows);
   /// Records that the agent's upstream holds the flows.
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -732,6 +732,8 @@
   m_entry_revision = heartbeat.entry_revision;
   if (m_knowledge.OnUpstreamStarted(heartbeat.upstream_started)) {
     Report(Kind::kPeerPhase, {}, source, "upstream_started");
+    // Balancers wait for what the agent knows now.
+    SendStatusSoon(now);
   }
   m_pending_requests.SetSlots(heartbeat.slots);
   m_running_requests.SetSlots(heartbeat.slots);
--- a/tests/libflow/orphanedflowstest.cpp
+++ b/tests/libflow/orphanedflowstest.cpp
@@ -259,6 +259,30 @@
   CHECK(site.resets.empty());
 }
 
+// Guards against callers who wait for the end of a search until their next
+// packet: agents that did not know their upstreams' starts when they were asked
+// learn them from the store a moment later.
+TEST_CASE("searches go on when agents learn that their upstreams are new") {
+  FlowSite site(2, 4);
+  for (const auto& agent : site.agents) {
+    agent->upstream->Restart();
+  }
+  RestartProcesses(&site, site.agents.size());
+  site.Run(milliseconds(50));
+  const FlowTuple tuple = SendOrphanedPacket(&site);
+  site.Run(milliseconds(50));
+  REQUIRE(site.resets.empty());
+  for (const auto& agent : site.agents) {
+    agent->entry.started_unix_ms =
+        static_cast<std::uint64_t>(site.WallNow().time_since_epoch().count());
+    agent->entry.cold_left = milliseconds(2000);
+    site.BumpRevision(agent.get());
+  }
+  site.Publish();
+  site.Run(milliseconds(100));
+  CHECK(site.ResetsOf(tuple) == 1);
+}
+
 // Guards against agents that are kept busy by hundreds of searches while the
 // first ones would show that all flows are lost.
 TEST_CASE("pattern: agents that answer late after an outage get few searches") {
