Begin deferred searches as the first ones of a recovery end

Callers waited up to 500 ms for the end of a deferred search although no other search was running. Cause: the first twelve searches of a recovery decide whether all flows are lost; they were counted once and for all, so that after twelve that found an owner no further one began before the time limit.

While it is undecided, deferred searches now begin as room appears among twelve at the same time, so agents still get few searches at once.

The new test failed before: the flows had no reset after 150 ms.

--- a/src/libflow/flowlossdetector.cpp
+++ b/src/libflow/flowlossdetector.cpp
@@ -23,9 +23,6 @@
 /// lost their flows together, provided that none of them holds an old flow. In
 /// a smaller sample, the flows of one upstream may be missing by chance.
 constexpr std::size_t kMinOrphanedFlows = 8;
-/// Number of searches that suffice to find kMinOrphanedFlows flows without an
-/// owner after an outage.
-constexpr std::size_t kMaxRecoverySearches = 12;
 /// All but one in this many agents have started without a handover after an
 /// outage; planned restarts lose the handovers of fewer agents at a time.
 constexpr std::size_t kOutageDivisor = 4;
--- a/src/libflow/flowlossdetector.h
+++ b/src/libflow/flowlossdetector.h
@@ -24,6 +24,10 @@
   /// announcement of a new balancer and have reported to it.
   static constexpr std::chrono::milliseconds kDiscoveryTime{1000};
 
+  /// Number of searches at the same time that suffice after an outage to show
+  /// whether all flows are lost.
+  static constexpr std::size_t kMaxRecoverySearches = 12;
+
   explicit FlowLossDetector(const AgentTable& agents) : m_agents(agents) {}
 
   /// Records when the first view with upstreams was installed.
--- a/src/libflow/flowownertable.h
+++ b/src/libflow/flowownertable.h
@@ -102,6 +102,9 @@
   std::unordered_map<FlowTuple, FlowEntry, FlowTupleHash>& flows() {
     return m_flows;
   }
+  const std::unordered_map<FlowTuple, FlowEntry, FlowTupleHash>& flows() const {
+    return m_flows;
+  }
 
  private:
   std::unordered_map<FlowTuple, FlowEntry, FlowTupleHash> m_flows;
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -437,20 +437,29 @@
 }
 
 void FlowRouter::EndDeferredSearches(TimePoint now) {
+  if (m_deferred_searches.empty()) {
+    return;
+  }
+  const bool are_all_lost = m_loss_detector.AreAllFlowsLost(now);
+  const bool is_undecided =
+      !are_all_lost && m_loss_detector.ShouldDeferSearches(now);
+  // Hundreds of searches at once would keep the agents from answering the first
+  // ones.
+  std::size_t room = is_undecided ? RoomForSearches() : 0;
   std::vector<FlowTuple> ended;
   std::erase_if(m_deferred_searches, [&](const FlowTuple& tuple) {
     const FlowEntry* entry = m_flows.Find(tuple);
     if (entry == nullptr || !entry->is_deferred) {
       return true;
     }
-    // Hundreds of searches at once would keep the agents from answering the
-    // first ones.
-    const bool is_undecided = !m_loss_detector.AreAllFlowsLost(now) &&
-                              m_loss_detector.ShouldDeferSearches(now);
     const milliseconds decided_limit =
         entry->flow_class.idempotent ? kIdempotentDeferTime : kDeferTime;
-    const bool is_due =
+    bool is_due =
         now - entry->placed >= (is_undecided ? kMaxDeferTime : decided_limit);
+    if (!is_due && room > 0) {
+      --room;
+      is_due = true;
+    }
     if (is_due) {
       ended.push_back(tuple);
     }
@@ -462,7 +471,7 @@
       // A flow that was deferred twice since the last tick is listed twice.
       continue;
     }
-    if (m_loss_detector.AreAllFlowsLost(now)) {
+    if (are_all_lost) {
       AbandonSearch(tuple, entry->acknowledgment, now);
       continue;
     }
@@ -473,6 +482,17 @@
   }
 }
 
+std::size_t FlowRouter::RoomForSearches() const {
+  const auto& flows = m_flows.flows();
+  const auto active = static_cast<std::size_t>(
+      std::count_if(flows.begin(), flows.end(), [](const auto& item) {
+        return item.second.state == State::kSearching &&
+               !item.second.is_deferred;
+      }));
+  return FlowLossDetector::kMaxRecoverySearches -
+         std::min(active, FlowLossDetector::kMaxRecoverySearches);
+}
+
 bool FlowRouter::QueryNextStage(const FlowTuple& tuple,
                                 FlowEntry* entry,
                                 TimePoint now) {
--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -155,9 +155,12 @@
   void ProbeUnsureAgents(const FlowTuple& tuple,
                          FlowEntry* entry,
                          TimePoint now);
-  /// Ends the deferred searches that have waited long enough: the flow is lost,
-  /// or agents are queried.
+  /// Ends the deferred searches that have waited long enough, or that have room
+  /// among the first searches: the flow is lost, or agents are queried.
   void EndDeferredSearches(TimePoint now);
+  /// Returns how many deferred searches may begin before it is known whether
+  /// all flows are lost.
+  std::size_t RoomForSearches() const;
   /// Begins the next stage of a search, if there is one. Returns false if the
   /// bandwidth limit does not allow it and the flow was removed.
   bool QueryNextStage(const FlowTuple& tuple, FlowEntry* entry, TimePoint now);
--- a/tests/libflow/orphanedflowstest.cpp
+++ b/tests/libflow/orphanedflowstest.cpp
@@ -283,6 +283,36 @@
   CHECK(site.ResetsOf(tuple) == 1);
 }
 
+// Guards against callers who wait for 500 ms because the first searches of a
+// recovery, whose result the others wait for, have all found an owner.
+TEST_CASE("pattern: searches that find an owner make room for others") {
+  constexpr std::size_t kAgents = 60;
+  FlowSite site(2, kAgents);
+  for (const auto& agent : site.agents) {
+    agent->upstream->Restart();
+    agent->entry.started_unix_ms =
+        static_cast<std::uint64_t>(site.WallNow().time_since_epoch().count());
+    agent->entry.cold_left = milliseconds(4000);
+    site.BumpRevision(agent.get());
+  }
+  RestartProcesses(&site, kAgents);
+  site.Run(milliseconds(200));
+  site.agents_queried = 0;
+  // Flows that open now and move before any report.
+  for (std::uint32_t caller = 1; caller <= 12; ++caller) {
+    site.Open(1, FlowSite::Tuple(caller));
+    site.SendRequest(0, FlowSite::Tuple(caller), 2);
+  }
+  for (std::uint32_t number = 0; number < 100; ++number) {
+    SendOrphanedPacket(&site, number);
+  }
+  site.Run(milliseconds(150));
+  CHECK(site.agents_queried <= 2 * 12 * kAgents);
+  for (std::uint32_t number = 0; number < 100; ++number) {
+    CHECK(site.ResetsOf(FlowSite::Tuple(900 + number)) == 1);
+  }
+}
+
 // Guards against agents that are kept busy by hundreds of searches while the
 // first ones would show that all flows are lost.
 TEST_CASE("pattern: agents that answer late after an outage get few searches") {
