Assume no outage while an older balancer is known

Packets of an open flow reached seven other upstreams. Cause: a balancer that had just started took planned restarts of nearly all agents, whose handovers were lost, for an outage of all processes, and sent the packet of each search to every upstream. Another balancer that has run for long greets each new one; this was used for lost flows (AreAllFlowsLost), but not in IsOutage.

With the greeting, the search asks agents and at most two upstreams that do not hold the flow get its packet. After a real outage no older balancer is there.

The new test failed before: 7 other upstreams got the packet, at most 2 may.

--- a/src/libflow/flowlossdetector.cpp
+++ b/src/libflow/flowlossdetector.cpp
@@ -73,7 +73,7 @@
 }
 
 bool FlowLossDetector::IsOutage(TimePoint now) const {
-  if (m_first_view == TimePoint{} ||
+  if (m_first_view == TimePoint{} || m_has_older_balancer ||
       now - m_first_view >= FlowKnowledge::kRecoveryTime) {
     return false;
   }
--- a/tests/libflow/orphanedflowstest.cpp
+++ b/tests/libflow/orphanedflowstest.cpp
@@ -313,6 +313,39 @@
   }
 }
 
+// Guards against FLOW: a balancer that has just started takes planned restarts
+// of all agents, whose handovers are lost, for an outage and sends the packets
+// of an open flow to all upstreams.
+TEST_CASE("restarts of all agents are no outage while a balancer keeps running") {
+  FlowSite site(1, 8);
+  site.Run(milliseconds(3000));
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  site.Open(0, tuple);
+  const FlowSite::Agent* owner = site.OwnerOf(tuple);
+  // The new balancer does not hear of the flow.
+  site.is_lost = [&](const SocketAddress& from, const SocketAddress& to) {
+    return from == owner->address && to != site.balancers[0]->address;
+  };
+  site.AddBalancer();
+  site.Publish();
+  site.Run(milliseconds(300));
+  for (std::size_t i = 0; i < site.agents.size(); ++i) {
+    site.StartAgent(i);
+  }
+  site.Run(milliseconds(1500));
+  site.is_lost = nullptr;
+  std::size_t strays = 0;
+  site.on_upstream_packet = [&](const FlowSite::Agent& agent,
+                                const FlowPacket&) {
+    strays += &agent == owner ? 0 : 1;
+  };
+  site.SendRequest(1, tuple, 2);
+  site.Run(milliseconds(100));
+  CHECK(strays <= 2);
+  CHECK(site.AnswersTo(tuple) == 2);
+  CHECK(site.resets.empty());
+}
+
 // Guards against agents that are kept busy by hundreds of searches while the
 // first ones would show that all flows are lost.
 TEST_CASE("pattern: agents that answer late after an outage get few searches") {
