Count requests in order of arrival when the slots become known

Estimates of work were too long after a restart under load, so that agents refused requests that they had room for. Cause: requests that reached the upstream before its slots were known did not count as begun, and later ones took the slots in the estimate while the upstream worked on the earlier ones.

The oldest requests now take the slots first, as at the upstream.

The new test failed before: the later request counted as begun at once.

--- a/src/libflow/runningrequests.cpp
+++ b/src/libflow/runningrequests.cpp
@@ -26,13 +26,13 @@
 }  // namespace
 
 std::uint64_t RunningRequests::Add(const FlowClass& flow_class, TimePoint now) {
-  Request request{++m_last_number, flow_class, std::nullopt, false, false};
-  if (m_started < m_slots) {
-    request.started = now;
-    request.counts_as_failure = true;
-    ++m_started;
-  }
-  m_requests.push_back(request);
+  // Requests from before the slots were known may still wait.
+  const bool waits_none = m_started == m_requests.size();
+  m_requests.push_back(
+      {++m_last_number, flow_class, std::nullopt, false, false});
+  StartNext(now);
+  Request& request = m_requests.back();
+  request.counts_as_failure = waits_none && request.started.has_value();
   return request.number;
 }
 
--- a/tests/libflow/upstreamloadtest.cpp
+++ b/tests/libflow/upstreamloadtest.cpp
@@ -371,6 +371,21 @@
   }
 }
 
+// Guards against estimates that are too long after a restart under load: the
+// requests of the earlier run still occupy the slots.
+TEST_CASE("requests from before the slots were known begin before later ones") {
+  ManualClock clock;
+  RunningRequests requests;
+  const std::uint64_t first = requests.Add(kShort, clock.Now());
+  requests.Add(kShort, clock.Now());
+  requests.SetSlots(2);
+  const std::uint64_t later = requests.Add(kShort, clock.Now());
+  clock.Advance(milliseconds(50));
+  requests.Remove(first, clock.Now());
+  clock.Advance(milliseconds(20));
+  CHECK(requests.Remove(later, clock.Now()) == milliseconds(20));
+}
+
 // Guards against an agent that was held up itself and blames its upstream for
 // answers that it has not read yet.
 TEST_CASE("requests at an agent that was paused are no failures") {
