Refuse a SYN whose caller has too little time left

A caller whose third SYN was accepted got no answer: its request was given up in silence, since its time-out counts from the first SYN. Cause: whether a new flow has room was decided as if its caller had come just now.

The age of the caller, known from the number of the SYN copy, now counts: the request has to be answered within 0.6 of what is left of the time-out. The refusal is true, since the upstream gets nothing.

The new test failed before: the SYN was answered.

--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -147,13 +147,17 @@
       !IsUnproven(known->second) && known->second.state != State::kAbsent &&
       m_view_confirmed && !IsOfOtherService(m_entry_revision);
   if (!copy) {
+    const Duration age =
+        kSynCopyTimes[std::min<std::size_t>(packet.acknowledgment,
+                                            kSynCopyTimes.size() - 1)];
     const ReturnReason refusal = RejectReason(now);
     if (refusal != ReturnReason::kCount) {
       SendReturn(source, refusal, tuple, message.packet);
       return;
     }
     if (m_pending_requests.MustWait(m_running) &&
-        m_pending_requests.IsOverloaded(message.flow_class, m_running, now)) {
+        m_pending_requests.IsOverloaded(message.flow_class, m_running, now,
+                                        age)) {
       SendReturn(source, ReturnReason::kUpstreamFull, tuple, message.packet,
                  message.flow_class.priority);
       return;
@@ -172,9 +176,7 @@
     UpstreamFlow& flow = m_flows[tuple];
     flow.syn_sequence = packet.sequence;
     flow.opened = now;
-    flow.requested =
-        now - kSynCopyTimes[std::min<std::size_t>(packet.acknowledgment,
-                                                  kSynCopyTimes.size() - 1)];
+    flow.requested = now - age;
     flow.data_sequence = packet.sequence;
     flow.flow_class = message.flow_class;
     Report(Kind::kPlaced, tuple, source, "to_upstream");
--- a/src/libflow/pendingrequestqueue.cpp
+++ b/src/libflow/pendingrequestqueue.cpp
@@ -20,11 +20,12 @@
 
 bool PendingRequestQueue::CanMeetDeadline(const FlowClass& flow_class,
                                           std::size_t running,
-                                          TimePoint now) const {
+                                          TimePoint now,
+                                          Duration age) const {
   return MayWait(flow_class) &&
-         ShedPolicy::HasRoomFor(
-             {flow_class, Duration{}, ExpectedWork(flow_class)},
-             DescribeAll(now), CapacityBeside(running), kMaxWaitShare);
+         ShedPolicy::HasRoomFor({flow_class, age, ExpectedWork(flow_class)},
+                                DescribeAll(now), CapacityBeside(running),
+                                kMaxWaitShare);
 }
 
 Duration PendingRequestQueue::ExpectedWork(const FlowClass& flow_class) const {
--- a/src/libflow/pendingrequestqueue.h
+++ b/src/libflow/pendingrequestqueue.h
@@ -52,17 +52,21 @@
     return m_slots > 0 && flow_class.timeout.count() > 0;
   }
 
-  /// Whether a further request beside \p running others would still be answered
-  /// in time, if it yields to the queued requests that cost as much or more.
+  /// Whether a further request beside \p running others, for which its caller
+  /// has waited for \p age, would still be answered in time, if it yields to the
+  /// queued requests that cost as much or more.
   bool CanMeetDeadline(const FlowClass& flow_class,
                        std::size_t running,
-                       TimePoint now) const;
+                       TimePoint now,
+                       Duration age = {}) const;
 
   /// Whether requests of a new flow would wait too long.
   bool IsOverloaded(const FlowClass& flow_class,
                     std::size_t running,
-                    TimePoint now) const {
-    return MayWait(flow_class) && !CanMeetDeadline(flow_class, running, now);
+                    TimePoint now,
+                    Duration age = {}) const {
+    return MayWait(flow_class) &&
+           !CanMeetDeadline(flow_class, running, now, age);
   }
 
   void Push(Request request) { m_waiting.push_back(std::move(request)); }
--- a/src/libflow/shedpolicy.cpp
+++ b/src/libflow/shedpolicy.cpp
@@ -12,7 +12,7 @@
 using Choice = ShedPolicy::Choice;
 
 enum class Goal { kObjective, kTimeout };
-enum class Ties { kNewestFirst, kOldestFirst };
+enum class Ties { kNewestFirst, kInOrder };
 
 /// A request that can be served, with its times from now.
 struct Entry {
@@ -28,11 +28,10 @@
 Duration DeadlineOf(const Request& request, Goal goal, double time_share) {
   const FlowClass& flow_class = request.flow_class;
   const bool has_objective = flow_class.latency_objective.count() > 0;
-  const Duration limit = goal == Goal::kObjective && has_objective
-                             ? flow_class.latency_objective
-                             : std::chrono::duration_cast<Duration>(
-                                   flow_class.timeout * time_share);
-  return limit - request.age;
+  return goal == Goal::kObjective && has_objective
+             ? flow_class.latency_objective - request.age
+             : std::chrono::duration_cast<Duration>(
+                   (flow_class.timeout - request.age) * time_share);
 }
 
 /// Whether the request can be answered before its caller's time-out.
@@ -114,11 +113,13 @@
               if (first.flow_class.idempotent != second.flow_class.idempotent) {
                 return second.flow_class.idempotent;
               }
+              if (ties == Ties::kInOrder) {
+                return a.index < b.index;
+              }
               // Of requests that arrived at the same moment, the first pushed
               // is older.
-              const auto age_a = std::tuple(first.age, b.index);
-              const auto age_b = std::tuple(second.age, a.index);
-              return ties == Ties::kNewestFirst ? age_a < age_b : age_b < age_a;
+              return std::tuple(first.age, b.index) <
+                     std::tuple(second.age, a.index);
             });
   Schedule schedule;
   for (const Ranked& each : ranked) {
@@ -276,10 +277,14 @@
                             std::span<const Request> queued,
                             const Capacity& capacity,
                             double time_share) {
+  if (capacity.delay + request.work >
+      DeadlineOf(request, Goal::kTimeout, time_share)) {
+    return false;
+  }
   std::vector<Request> all(queued.begin(), queued.end());
   all.push_back(request);
   const Schedule schedule = MakeSchedule(all, capacity, Goal::kTimeout,
-                                         Ties::kOldestFirst, time_share);
+                                         Ties::kInOrder, time_share);
   return std::any_of(schedule.begin(), schedule.end(), [&](const Entry& entry) {
     return entry.index == queued.size();
   });
--- a/tests/libflow/sheddingtest.cpp
+++ b/tests/libflow/sheddingtest.cpp
@@ -54,6 +54,28 @@
   CHECK(started[6].source == late.caller);
 }
 
+// Guards against silence: a flow that opens too late for its first request
+// makes its caller wait until the time-out instead of trying elsewhere.
+TEST_CASE("a SYN whose caller's time is nearly over is refused") {
+  FlowSite site(1, 1, 2);
+  site.view.routes.at(FlowSite::kNonIdempotentRoute).timeout =
+      milliseconds(650);
+  ++site.view.configuration_version;
+  site.Publish();
+  for (std::uint32_t caller = 1; caller <= 20; ++caller) {
+    site.Open(0, FlowSite::Tuple(caller));
+  }
+  // The agent learns the work of a request.
+  site.Run(milliseconds(50));
+  const FlowTuple fresh = FlowSite::Tuple(21, FlowSite::kNonIdempotentRoute);
+  // The third SYN of a caller comes 600 ms after the first one.
+  const FlowTuple late = FlowSite::Tuple(22, FlowSite::kNonIdempotentRoute);
+  site.SendSyn(0, fresh);
+  site.SendSyn(0, late, 2);
+  CHECK(site.SynAckSequence(fresh) != 0);
+  CHECK(site.SynAckSequence(late) == 0);
+}
+
 TEST_CASE("a request on a flow that its upstream closes is no failure") {
   // Guards against a healthy upstream that counts as failing: it resets the
   // requests that waited when it closed their flows.
