Send fewer requests ahead to an upstream that works slowly

An urgent request waited for up to three long ones that its agent had sent to the upstream beyond its slots: with work of 100 ms and two slots for 250 ms, more than the latency objective. Cause: the number of requests sent ahead, which keeps slots busy until the agent sees an answer, was the same for any work.

They now occupy the slots for 30 ms at least and are three at most, so nothing changes for work of up to 20 ms at two slots.

--- a/src/libflow/pendingrequestqueue.cpp
+++ b/src/libflow/pendingrequestqueue.cpp
@@ -9,13 +9,23 @@
 /// Requests that are sent to the upstream beyond its slots, so that a slot that
 /// becomes free is used before the agent sees the answer.
 constexpr std::uint32_t kMaxQueuedAtUpstream = 3;
+/// Time for which these requests occupy the slots at least. They cannot be
+/// overtaken any more, so that fewer are sent if they take long.
+constexpr std::chrono::milliseconds kAnswerDelay{30};
 /// Maximum share of a caller's time-out that a request may wait.
 constexpr double kMaxWaitShare = 0.6;
 
 }  // namespace
 
 bool PendingRequestQueue::MustWait(std::size_t running) const {
-  return m_slots > 0 && running >= m_slots + kMaxQueuedAtUpstream;
+  return m_slots > 0 && running >= m_slots + QueuedAtUpstream();
+}
+
+std::uint32_t PendingRequestQueue::QueuedAtUpstream() const {
+  const Duration work = std::max(m_work.Average(), Duration(1));
+  const auto needed = (kAnswerDelay * m_slots + work - Duration(1)) / work;
+  return static_cast<std::uint32_t>(
+      std::min<std::int64_t>(needed, kMaxQueuedAtUpstream));
 }
 
 bool PendingRequestQueue::CanMeetDeadline(const FlowClass& flow_class,
--- a/src/libflow/pendingrequestqueue.h
+++ b/src/libflow/pendingrequestqueue.h
@@ -103,6 +103,8 @@
   Duration ExpectedWork(const FlowClass& flow_class) const;
   ShedPolicy::Request Describe(const Request& request, TimePoint now) const;
   std::vector<ShedPolicy::Request> DescribeAll(TimePoint now) const;
+  /// Returns how many requests may be at the upstream beyond its slots.
+  std::uint32_t QueuedAtUpstream() const;
   ShedPolicy::Capacity CapacityBeside(std::size_t running) const;
 
   std::uint32_t m_slots = 0;
