--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -14,6 +14,9 @@
 /// wait at any agent that is paused.
 constexpr std::size_t kFeedsPerAgent = 4;
 constexpr int kExtendedOrdersPerSecond = 200;
+/// Feeds at each upstream of a run with shortages: more than it can serve in
+/// their time-out when its requests take 50 ms.
+constexpr std::size_t kShortageFeedsPerAgent = 60;
 
 struct Options {
   char* programs = nullptr;
@@ -26,6 +29,7 @@
   int network = 30;
   int extended = 0;
   int planned = 0;
+  int shortage = 0;
   int no_first_start = 0;
 };
 
@@ -33,6 +37,9 @@
   if (options.planned != 0) {
     return SoakRun::Faults::kPlanned;
   }
+  if (options.shortage != 0) {
+    return SoakRun::Faults::kShortage;
+  }
   return options.extended != 0 ? SoakRun::Faults::kExtended
                                : SoakRun::Faults::kBasic;
 }
@@ -52,6 +59,10 @@
     size.feeds = kFeedsPerAgent * size.agents;
     size.orders_per_second = kExtendedOrdersPerSecond;
   }
+  if (options.shortage != 0) {
+    size.has_priorities = true;
+    size.feeds = kShortageFeedsPerAgent * size.agents;
+  }
   SoakSite site(size, seed, options.network, options.programs, logs);
   if (!site.Start()) {
     std::printf("seed %llu: the site did not become ready; see %s\n",
@@ -98,6 +109,10 @@
        "planned work only: restarts, reloads, changes of configuration, zones "
        "and upstreams; FLOW then holds without exception",
        nullptr},
+      {"shortage", 0, POPT_ARG_NONE, &options.shortage, 0,
+       "only times in which all upstreams are slow; orders then have to fail "
+       "no more often than requests of lower priority",
+       nullptr},
       {"no-first-start", 0, POPT_ARG_NONE, &options.no_first_start, 0,
        "do not pass --first-start to agents, for programs that lack it",
        nullptr},
@@ -117,10 +132,11 @@
       !within(options.balancers, 1, 40) || !within(options.agents, 2, 150) ||
       !within(options.network, 2, 250) || !within(options.seconds, 1, 3600) ||
       options.seed < 0 || options.seeds < 1 ||
-      (options.extended != 0 && options.planned != 0)) {
+      options.extended + options.planned + options.shortage > 1) {
     std::fprintf(stderr,
                  "--programs and --work are needed, numbers must be in range, "
-                 "--extended and --planned exclude each other; see --help\n");
+                 "--extended, --planned and --shortage exclude each other; see "
+                 "--help\n");
     return 2;
   }
   int failed = 0;
--- a/tests/soak/soakcallers.cpp
+++ b/tests/soak/soakcallers.cpp
@@ -52,6 +52,7 @@
   flow.payload = {++m_last_request, route.service};
   if (!route.feed) {
     flow.payload.request |= SoakPayload::kOrder;
+    ++m_counts.orders;
   }
   ++m_counts.requests;
   Open(std::move(flow), now);
@@ -79,6 +80,8 @@
   ++m_counts.failed;
   if (route.feed) {
     m_paused_feeds.emplace_back(now + kPauseAfterFailure, route);
+  } else {
+    ++m_counts.failed_orders;
   }
 }
 
@@ -188,6 +191,9 @@
       m_callbacks.on_mismatched_answer(tuple);
     } else if (flow.awaits_answer && payload == flow.payload) {
       ++m_counts.answered;
+      const bool in_time = now - flow.started_at <= kLatencyObjective;
+      m_counts.in_time += in_time ? 1 : 0;
+      m_counts.orders_in_time += in_time && !flow.route.feed ? 1 : 0;
       flow.awaits_answer = false;
       const bool idle = m_has_idle_feeds && m_random.Below(2) == 0;
       flow.next_send =
--- a/tests/soak/soakcallers.h
+++ b/tests/soak/soakcallers.h
@@ -22,6 +22,9 @@
 /// packets and time out as the callers of users do.
 class SoakCallers {
  public:
+  /// Time within which callers expect an answer.
+  static constexpr std::chrono::milliseconds kLatencyObjective{200};
+
   struct Route {
     SocketAddress address;
     std::uint64_t service = 0;
@@ -42,6 +45,12 @@
     std::uint64_t requests = 0;
     std::uint64_t answered = 0;
     std::uint64_t failed = 0;
+    /// Requests answered within the latency objective.
+    std::uint64_t in_time = 0;
+    /// The orders among all of these.
+    std::uint64_t orders = 0;
+    std::uint64_t failed_orders = 0;
+    std::uint64_t orders_in_time = 0;
   };
 
   /// Binds one socket to each of \p addresses.
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -21,6 +21,9 @@
 constexpr int kMinAwayMs = 100;
 constexpr int kMaxAgentAwayMs = 2400;
 constexpr int kMaxBalancerAwayMs = 6500;
+/// Work of a request in a shortage; upstreams have three slots.
+constexpr int kMinShortageWorkMs = 50;
+constexpr int kMaxShortageWorkMs = 100;
 
 }  // namespace
 
@@ -50,6 +53,9 @@
     Step();
   }
   m_site->CheckServesNewFlows();
+  if (m_faults == Faults::kShortage) {
+    m_site->CheckOrdersComeFirst();
+  }
 }
 
 void SoakRun::Step() {
@@ -67,6 +73,14 @@
   }
 }
 
+void SoakRun::CauseShortage() {
+  const milliseconds work = DrawTime(kMinShortageWorkMs, kMaxShortageWorkMs);
+  m_site->SetWork(work);
+  RecordEvent("requests take " + std::to_string(work.count()) + " ms");
+  RunAfter(DrawTime(800, 3000),
+           [this] { m_site->SetWork(SoakSite::kUsualWork); });
+}
+
 void SoakRun::DoPlannedWork() {
   switch (Draw(8)) {
     case 0:
@@ -212,6 +226,10 @@
     DoPlannedWork();
     return;
   }
+  if (m_faults == Faults::kShortage) {
+    CauseShortage();
+    return;
+  }
   if (m_faults == Faults::kExtended && Draw(2) == 0) {
     CauseExtendedFault();
     return;
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -26,6 +26,8 @@
     /// several at a time and overlapping, while the configuration, the state of
     /// upstreams and the zones in use change.
     kPlanned,
+    /// All upstreams are slow at times, so that there is too little room.
+    kShortage,
   };
 
   /// \p site must outlive the run.
@@ -47,6 +49,7 @@
   void Step();
   void CauseFault();
   void CauseExtendedFault();
+  void CauseShortage();
   /// Stops and starts several processes of one kind in turn, as planned.
   void RollProcesses();
   void DoPlannedWork();
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -52,6 +52,10 @@
 constexpr milliseconds kDriverStallThreshold{100};
 constexpr char kTakenOutZone[] = "b";
 
+std::string Priority(const SoakCallers::Route& route) {
+  return route.feed ? R"(,"priority":5)" : R"(,"priority":0)";
+}
+
 }  // namespace
 
 SoakSite::SoakSite(const Size& size,
@@ -384,7 +388,8 @@
               std::to_string(route.address.port) + R"(/","kind":")" +
               (route.feed ? "safe" : "unsafe") +
               R"(","timeout_ms":1000,"slo_ms":200,"service":"s)" +
-              std::to_string(route.service) + "\"}";
+              std::to_string(route.service) + "\"" +
+              (m_size.has_priorities ? Priority(route) : "") + "}";
   }
   // Routes without traffic, so that the configuration fits into no message.
   for (std::uint16_t i = 0; i < kIdleRoutes; ++i) {
@@ -401,7 +406,14 @@
                   R"("limits":{"idle_timeout_ms":15000}})");
 }
 
+void SoakSite::SetWork(milliseconds work) {
+  for (const Upstream& each : m_upstreams) {
+    each.upstream->SetWork(work);
+  }
+}
+
 void SoakSite::EndAllFaults() {
+  SetWork(kUsualWork);
   m_proxy.EndAllFaults();
   for (std::size_t i = 0; i < m_instances.size(); ++i) {
     m_processes.Signal(m_instances[i].name, SIGCONT);
@@ -738,12 +750,37 @@
   }
 }
 
+void SoakSite::CheckOrdersComeFirst() {
+  const SoakCallers::Counts& counts = m_callers->counts();
+  const std::uint64_t feeds = counts.requests - counts.orders;
+  const std::uint64_t failed_feeds = counts.failed - counts.failed_orders;
+  if (counts.failed_orders * feeds > failed_feeds * counts.orders) {
+    AddViolation(std::to_string(counts.failed_orders) + " of " +
+                 std::to_string(counts.orders) + " orders failed, but only " +
+                 std::to_string(failed_feeds) + " of " + std::to_string(feeds) +
+                 " requests of feeds");
+  }
+  const std::uint64_t feeds_in_time = counts.in_time - counts.orders_in_time;
+  if (counts.orders_in_time * feeds < feeds_in_time * counts.orders) {
+    AddViolation(std::to_string(counts.orders_in_time) + " of " +
+                 std::to_string(counts.orders) +
+                 " orders were answered in time, and " +
+                 std::to_string(feeds_in_time) + " of " +
+                 std::to_string(feeds) + " requests of feeds");
+  }
+}
+
 std::string SoakSite::Summary() const {
   const SoakCallers::Counts& counts = m_callers->counts();
   return "requests " + std::to_string(counts.requests) + ", answered " +
          std::to_string(counts.answered) + ", failed " +
-         std::to_string(counts.failed) + ", stalls of the machine " +
-         std::to_string(m_stalls) + ", packets of open flows at others " +
+         std::to_string(counts.failed) + " (" +
+         std::to_string(counts.failed_orders) + " of " +
+         std::to_string(counts.orders) + " orders), in time " +
+         std::to_string(counts.in_time) + " (" +
+         std::to_string(counts.orders_in_time) +
+         " orders), stalls of the machine " + std::to_string(m_stalls) +
+         ", packets of open flows at others " +
          std::to_string(m_stray_packets.stray_packets()) + " (most in 2 s " +
          std::to_string(m_stray_packets.most_stray_packets()) + ")";
 }
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -33,6 +33,8 @@
     int orders_per_second = 40;
     /// All faults are planned work, during which FLOW holds without exception.
     bool is_planned_only = false;
+    /// Orders have a higher priority than feeds.
+    bool has_priorities = false;
     /// Agents are told when they start for the first time. Earlier versions of
     /// the programs lack the flag.
     bool has_first_start_flag = true;
@@ -50,6 +52,8 @@
   /// An address is used again no earlier than this after its upstream's end.
   static constexpr std::chrono::seconds kReuseAfter{2};
   static constexpr std::size_t kServices = 2;
+  /// Work of a request without a shortage.
+  static constexpr std::chrono::milliseconds kUsualWork{10};
 
   /// \p network is the second byte of all addresses, so that several soak runs
   /// can share a machine.
@@ -90,6 +94,8 @@
   LoopbackProxy::Impairment& From(std::size_t instance);
   LoopbackProxy::Impairment& To(std::size_t instance);
   void SetStoreFault(std::size_t balancer, FakeStore::Fault fault);
+  /// Sets the work of a request at all upstreams.
+  void SetWork(std::chrono::milliseconds work);
   void DropStoreHistory();
   /// Balancers that watch the operators' part of the store.
   std::set<std::size_t> StoreReaders() const { return m_store.Watchers("op/"); }
@@ -113,6 +119,10 @@
   /// of the whole run ran more than once.
   void CheckServesNewFlows();
 
+  /// Checks that no larger share of the orders failed than of the feeds'
+  /// requests, and that no smaller one was answered in time.
+  void CheckOrdersComeFirst();
+
   const std::vector<std::string>& violations() const { return m_violations; }
   std::string Summary() const;
   TimePoint Now() const { return m_clock.Now(); }
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -14,7 +14,6 @@
 
 constexpr std::size_t kSlots = 3;
 constexpr std::size_t kQueueLength = 8;
-constexpr std::chrono::milliseconds kServiceTime{10};
 constexpr std::uint32_t kSequencesPerUpstream = 10'000'000;
 constexpr std::uint32_t kSequencesPerFlow = 1000;
 
@@ -136,7 +135,7 @@
     const auto flow = m_flows.find(tuple);
     if (flow != m_flows.end()) {
       m_observer.on_run(flow->second.payload);
-      m_running.push_back({now + kServiceTime, tuple, sequence});
+      m_running.push_back({now + m_work, tuple, sequence});
     }
   }
 }
--- a/tests/soak/soakupstream.h
+++ b/tests/soak/soakupstream.h
@@ -48,6 +48,9 @@
   /// While it is down, the upstream takes no packet and has no flows.
   void SetDown(bool down);
 
+  /// Sets the work of the requests that begin from now on.
+  void SetWork(std::chrono::milliseconds work) { m_work = work; }
+
   /// Whether the caller has completed the handshake of the flow.
   bool HasOpenFlow(const FlowTuple& tuple) const;
 
@@ -76,6 +79,7 @@
   void Send(const FlowPacket& packet, std::span<const std::uint8_t> data = {});
 
   SocketAddress m_outbound;
+  std::chrono::milliseconds m_work{10};
   std::uint32_t m_last_sequence;
   Observer m_observer;
   std::unique_ptr<UdpSocket> m_socket;
