--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -147,9 +147,8 @@
       !IsUnproven(known->second) && known->second.state != State::kAbsent &&
       m_view_confirmed && !IsOfOtherService(m_entry_revision);
   if (!copy) {
-    const Duration age =
-        kSynCopyTimes[std::min<std::size_t>(packet.acknowledgment,
-                                            kSynCopyTimes.size() - 1)];
+    const Duration age = kSynCopyTimes[std::min<std::size_t>(
+        packet.acknowledgment, kSynCopyTimes.size() - 1)];
     const ReturnReason refusal = RejectReason(now);
     if (refusal != ReturnReason::kCount) {
       SendReturn(source, refusal, tuple, message.packet);
--- a/src/libflow/pendingrequestqueue.h
+++ b/src/libflow/pendingrequestqueue.h
@@ -53,8 +53,8 @@
   }
 
   /// Whether a further request beside \p running others, for which its caller
-  /// has waited for \p age, would still be answered in time, if it yields to the
-  /// queued requests that cost as much or more.
+  /// has waited for \p age, would still be answered in time, if it yields to
+  /// the queued requests that cost as much or more.
   bool CanMeetDeadline(const FlowClass& flow_class,
                        std::size_t running,
                        TimePoint now,
--- a/src/libflow/shedpolicy.cpp
+++ b/src/libflow/shedpolicy.cpp
@@ -103,24 +103,23 @@
       ranked.push_back({i, CostOf(requests[i]), deadline});
     }
   }
-  std::sort(ranked.begin(), ranked.end(),
-            [&](const Ranked& a, const Ranked& b) {
-              const Request& first = requests[a.index];
-              const Request& second = requests[b.index];
-              if (a.cost != b.cost) {
-                return a.cost > b.cost;
-              }
-              if (first.flow_class.idempotent != second.flow_class.idempotent) {
-                return second.flow_class.idempotent;
-              }
-              if (ties == Ties::kInOrder) {
-                return a.index < b.index;
-              }
-              // Of requests that arrived at the same moment, the first pushed
-              // is older.
-              return std::tuple(first.age, b.index) <
-                     std::tuple(second.age, a.index);
-            });
+  std::sort(
+      ranked.begin(), ranked.end(), [&](const Ranked& a, const Ranked& b) {
+        const Request& first = requests[a.index];
+        const Request& second = requests[b.index];
+        if (a.cost != b.cost) {
+          return a.cost > b.cost;
+        }
+        if (first.flow_class.idempotent != second.flow_class.idempotent) {
+          return second.flow_class.idempotent;
+        }
+        if (ties == Ties::kInOrder) {
+          return a.index < b.index;
+        }
+        // Of requests that arrived at the same moment, the first pushed
+        // is older.
+        return std::tuple(first.age, b.index) < std::tuple(second.age, a.index);
+      });
   Schedule schedule;
   for (const Ranked& each : ranked) {
     AddIfFeasible({each.index, each.deadline, {}}, requests, capacity,
@@ -283,8 +282,8 @@
   }
   std::vector<Request> all(queued.begin(), queued.end());
   all.push_back(request);
-  const Schedule schedule = MakeSchedule(all, capacity, Goal::kTimeout,
-                                         Ties::kInOrder, time_share);
+  const Schedule schedule =
+      MakeSchedule(all, capacity, Goal::kTimeout, Ties::kInOrder, time_share);
   return std::any_of(schedule.begin(), schedule.end(), [&](const Entry& entry) {
     return entry.index == queued.size();
   });
--- a/src/libflow/shedpolicy.h
+++ b/src/libflow/shedpolicy.h
@@ -65,9 +65,9 @@
   static std::optional<Choice> ChooseNext(std::span<const Request> requests,
                                           const Capacity& capacity);
 
-  /// Whether a further request would be answered within \p time_share of what is
-  /// left of its caller's time-out if it yields to the queued requests that are
-  /// at least as dear and can be, too. \p queued is in order of arrival.
+  /// Whether a further request would be answered within \p time_share of what
+  /// is left of its caller's time-out if it yields to the queued requests that
+  /// are at least as dear and can be, too. \p queued is in order of arrival.
   static bool HasRoomFor(const Request& request,
                          std::span<const Request> queued,
                          const Capacity& capacity,
--- a/tests/libflow/orphanedflowstest.cpp
+++ b/tests/libflow/orphanedflowstest.cpp
@@ -316,7 +316,8 @@
 // Guards against FLOW: a balancer that has just started takes planned restarts
 // of all agents, whose handovers are lost, for an outage and sends the packets
 // of an open flow to all upstreams.
-TEST_CASE("restarts of all agents are no outage while a balancer keeps running") {
+TEST_CASE(
+    "restarts of all agents are no outage while a balancer keeps running") {
   FlowSite site(1, 8);
   site.Run(milliseconds(3000));
   const FlowTuple tuple = FlowSite::Tuple(1);
