Measure the expected wait of queued requests

Operators could not see whether the waits by which agents refuse requests and balancers place flows are the real ones. Agents now measure the wait that they expect when a request is queued, request_expected_wait_seconds, beside the real one. A test compares both for a queue of one class: the mean is at most 40 ms above the real one, of which 30 ms are requests sent ahead.

--- a/src/libflow/flowmeasurement.h
+++ b/src/libflow/flowmeasurement.h
@@ -14,6 +14,8 @@
   kAnswer,
   /// From the arrival of a queued request to its delivery.
   kWait,
+  /// The wait that was expected when a queued request arrived, if it goes last.
+  kExpectedWait,
   kCount,
 };
 
--- a/src/libflow/flowtracker.cpp
+++ b/src/libflow/flowtracker.cpp
@@ -429,6 +429,7 @@
     // Callers open a flow to send a request, for which they have waited since.
     const bool is_first = flow->data_sequence == flow->syn_sequence &&
                           now - flow->opened < kFirstRequestTimeout;
+    m_output->Measure(FlowMeasurement::kExpectedWait, QueueWait(now));
     m_pending_requests.Push({tuple,
                              flow->flow_class,
                              is_first ? flow->requested : now,
@@ -878,6 +879,12 @@
                       std::chrono::duration_cast<microseconds>(*work)};
 }
 
+Duration FlowTracker::QueueWait(TimePoint now) const {
+  return m_running_requests.Wait(m_pending_requests.work(),
+                                 m_pending_requests.size(),
+                                 m_pending_requests.WaitingWork(), now);
+}
+
 void FlowTracker::SendStatus(TimePoint now) {
   m_placed_since_status = 0;
   m_reporter.Send(MakeStatus(now), &m_balancers, now);
--- a/src/libflow/flowtracker.h
+++ b/src/libflow/flowtracker.h
@@ -102,6 +102,8 @@
   std::array<std::uint32_t, kMaxPriority + 1> WaitingByPriority() const {
     return m_pending_requests.CountByPriority();
   }
+  /// Returns the expected wait of a request behind all that are queued.
+  Duration QueueWait(TimePoint now) const;
   /// Load and speed of the upstream; empty while they are not known.
   std::optional<UpstreamLoad> Load(TimePoint now) const;
   AgentPhase phase() const { return m_phase; }
--- a/src/libnet/flowtelemetry.cpp
+++ b/src/libnet/flowtelemetry.cpp
@@ -81,6 +81,8 @@
         "Time from the delivery of a request to the first data of its answer");
   write(FlowMeasurement::kWait, "request_wait_seconds",
         "Time that requests waited for a slot of the upstream");
+  write(FlowMeasurement::kExpectedWait, "request_expected_wait_seconds",
+        "The same as expected at their arrival, behind all that waited");
   for (const auto& [key, count] : m_requests) {
     metrics->Counter(
         "requests_by_priority_total",
--- a/tests/libflow/flowsite.h
+++ b/tests/libflow/flowsite.h
@@ -83,8 +83,9 @@
       m_site->reset_sequences.push_back(sequence);
       m_site->reset_senders.push_back(m_self);
     }
-    void Measure(FlowMeasurement /*measurement*/, Duration /*time*/) override {
+    void Measure(FlowMeasurement measurement, Duration time) override {
       ++m_site->measurements;
+      m_site->measured[measurement].push_back(time);
     }
     void Report(const FlowDecision& decision) override {
       m_site->decisions.push_back(std::string(ToString(decision.kind)) + " " +
@@ -420,6 +421,7 @@
   std::vector<SocketAddress> reset_senders;
   std::vector<std::string> decisions;
   std::size_t measurements = 0;
+  std::map<FlowMeasurement, std::vector<Duration>> measured;
   /// The agent whose upstream's packets are held back; null for none.
   const Agent* delayed = nullptr;
   /// Number of packets that callers sent.
--- a/tests/libflow/sheddingtest.cpp
+++ b/tests/libflow/sheddingtest.cpp
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <numeric>
+#include <vector>
 
 #include "flowsite.h"
 
@@ -62,6 +64,27 @@
   CHECK(site.resets.empty());
 }
 
+// Guards against a metric of the expected wait that tells operators nothing.
+TEST_CASE(
+    "the expected wait of a queue of one class is close to the real one") {
+  FlowSite site(1, 1, 2);
+  for (std::uint32_t caller = 1; caller <= 40; ++caller) {
+    site.Open(0, FlowSite::Tuple(caller));
+  }
+  site.Run(milliseconds(700));
+  const auto& expected = site.measured[FlowMeasurement::kExpectedWait];
+  const auto& real = site.measured[FlowMeasurement::kWait];
+  REQUIRE(expected.size() == real.size());
+  REQUIRE(expected.size() >= 30);
+  const auto sum = [](const std::vector<Duration>& times) {
+    return std::accumulate(times.begin(), times.end(), Duration{});
+  };
+  const auto count = static_cast<int>(real.size());
+  // Requests are sent to the upstream up to 30 ms before they have a slot.
+  CHECK(sum(expected) / count >= sum(real) / count);
+  CHECK(sum(expected) / count <= sum(real) / count + milliseconds(40));
+}
+
 TEST_CASE("a request counts from its caller's first SYN") {
   // Guards against callers of an outage who are late already and take the slots
   // of those who can still be answered in time.
