Compare placing under failures of the figures with placing by count

Five tests, one failure each, with one slow upstream of six: a balancer that has just started, or is parted from half of the agents, an agent that starts again, lost reports, and agents of an earlier version.

--- a/tests/libflow/upstreamloadtest.cpp
+++ b/tests/libflow/upstreamloadtest.cpp
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <functional>
+#include <memory>
 #include <random>
 #include <vector>
 
@@ -99,6 +101,27 @@
   return traffic.Run(250, std::chrono::seconds(8));
 }
 
+/// Checks that no fewer flows are answered in time with figures than by count
+/// alone, on the same arrivals, with a slow upstream and after \p failure.
+void CheckFailure(const std::function<void(FlowSite*)>& failure) {
+  const auto run = [&](bool has_figures) {
+    FlowSite site(4, 6, 2, {1, 1});
+    if (!has_figures) {
+      DropFigures(&site);
+    }
+    site.agents[0]->upstream->work = milliseconds(100);
+    Traffic traffic(&site);
+    traffic.Run(250, std::chrono::seconds(2));
+    failure(&site);
+    return traffic.Run(250, std::chrono::seconds(3));
+  };
+  const Arrivals today = run(kWithoutFigures);
+  const Arrivals arrivals = run(kWithFigures);
+  MESSAGE("in time " << arrivals.in_time << " (by count " << today.in_time
+                     << ") of " << arrivals.flows);
+  CHECK(arrivals.in_time >= today.in_time);
+}
+
 AgentStatus Report(std::uint32_t running,
                    std::uint32_t long_flows,
                    milliseconds wait,
@@ -202,6 +225,57 @@
   }
 }
 
+// Guards against a balancer that knows few figures yet and sends its flows to
+// the slow upstream, or all of them to the same one.
+TEST_CASE("a balancer that has just started places no worse than by count") {
+  CheckFailure([](FlowSite* site) {
+    site->StartBalancer(0);
+    site->Publish();
+  });
+}
+
+TEST_CASE(
+    "a balancer parted from half of the agents is no worse than by count") {
+  CheckFailure([](FlowSite* site) {
+    const SocketAddress balancer = site->balancers[0]->address;
+    std::vector<SocketAddress> parted;
+    for (std::size_t i = 0; i < site->agents.size(); i += 2) {
+      parted.push_back(site->agents[i]->address);
+    }
+    site->is_lost = [=](const SocketAddress& from, const SocketAddress& to) {
+      const SocketAddress& agent = from == balancer ? to : from;
+      return (from == balancer || to == balancer) &&
+             std::find(parted.begin(), parted.end(), agent) != parted.end();
+    };
+  });
+}
+
+TEST_CASE("an agent that starts again places no worse than by count") {
+  CheckFailure([](FlowSite* site) { site->StartAgent(0); });
+}
+
+TEST_CASE("lost reports of all agents place no worse than by count") {
+  CheckFailure([](FlowSite* site) {
+    auto count = std::make_shared<int>(0);
+    site->is_lost = [count](const SocketAddress& from, const SocketAddress&) {
+      return from.port == FlowSite::kAgentPort && ++*count % 3 == 0;
+    };
+  });
+}
+
+TEST_CASE("agents of an earlier version place no worse than by count") {
+  CheckFailure([](FlowSite* site) {
+    if (site->edit_report) {
+      return;
+    }
+    site->edit_report = [](AgentStatus* status) {
+      if (static_cast<std::uint64_t>(status->incarnation) % 2 == 0) {
+        status->load.reset();
+      }
+    };
+  });
+}
+
 // Guards against figures of the past that decide after reports were lost.
 TEST_CASE("figures of an overdue report are not used") {
   Peers peers(2);
