Prefer agents for urgent flows that have refused only lower priorities

For 100 ms after an agent had refused a flow because its queue was full, balancers preferred it for no flow. Under a shortage of low priorities urgent flows therefore went to any other agent of the service, also in other zones, whose load is not known, although the agent lets them overtake its queue.

The balancer now keeps the priority that was refused, and still prefers the agent for higher ones.

The new test fails without the condition (the order is placed as a last resort).

--- a/src/libflow/agentpeer.cpp
+++ b/src/libflow/agentpeer.cpp
@@ -157,10 +157,17 @@
   ++(long_lived ? m_placed_long : m_placed_short);
 }
 
-void AgentPeer::OnSynReturned(ReturnReason reason, TimePoint now) {
-  const bool full = reason == ReturnReason::kUpstreamFull ||
-                    reason == ReturnReason::kUpstreamCold;
-  m_backoff_until = now + (full ? kFullBackoff : kUnavailableBackoff);
+void AgentPeer::OnSynReturned(ReturnReason reason,
+                              std::uint8_t priority,
+                              TimePoint now) {
+  if (reason == ReturnReason::kUpstreamFull) {
+    m_full_priority =
+        now < m_full_until ? std::min(m_full_priority, priority) : priority;
+    m_full_until = now + kFullBackoff;
+    return;
+  }
+  const bool cold = reason == ReturnReason::kUpstreamCold;
+  m_backoff_until = now + (cold ? kFullBackoff : kUnavailableBackoff);
 }
 
 bool AgentPeer::IsCandidate() const {
@@ -168,8 +175,10 @@
          !m_zone_out && m_phase == AgentPhase::kServing;
 }
 
-bool AgentPeer::IsPreferred(TimePoint now) const {
-  return IsCandidate() && !m_missing && IsReporting() && now >= m_backoff_until;
+bool AgentPeer::IsPreferred(std::uint8_t priority, TimePoint now) const {
+  const bool is_full = now < m_full_until && priority >= m_full_priority;
+  return IsCandidate() && !m_missing && IsReporting() &&
+         now >= m_backoff_until && !is_full;
 }
 
 double AgentPeer::Load(bool long_lived, TimePoint now) const {
--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -66,17 +66,20 @@
   /// Counts a new flow that was sent to the agent and that its reports do not
   /// include yet.
   void OnFlowPlaced(bool long_lived);
-  /// Handles a SYN that the agent returned: for a while, which depends on
-  /// \p reason, the agent is not preferred for new flows.
-  void OnSynReturned(ReturnReason reason, TimePoint now);
+  /// Handles a SYN of a flow with \p priority that the agent returned: for a
+  /// while, which depends on \p reason, the agent is not preferred for new
+  /// flows. One whose upstream is full is still preferred for those of a higher
+  /// priority.
+  void OnSynReturned(ReturnReason reason, std::uint8_t priority, TimePoint now);
 
   /// Whether the upstream may get new flows: the view lists it with the service
   /// that its agent reports, it is not draining, its zone is not out, and its
   /// agent's phase is serving.
   bool IsCandidate() const;
   /// Whether the upstream is a candidate that is not missing from the store,
-  /// and whose agent reports regularly and has not returned a SYN a moment ago.
-  bool IsPreferred(TimePoint now) const;
+  /// and whose agent reports regularly and has not returned a SYN of \p
+  /// priority or a higher one a moment ago.
+  bool IsPreferred(std::uint8_t priority, TimePoint now) const;
 
   /// Whether the upstream holds a flow that opened before \p time, according to
   /// the last report.
@@ -204,6 +207,9 @@
   TimePoint m_oldest_flow{};
   bool m_silent = false;
   TimePoint m_backoff_until{};
+  /// The upstream was full for flows of \ref m_full_priority and lower ones.
+  TimePoint m_full_until{};
+  std::uint8_t m_full_priority = 0;
   /// Flows sent to the agent since its last report.
   std::uint32_t m_placed_short = 0;
   std::uint32_t m_placed_long = 0;
--- a/src/libflow/agentselector.cpp
+++ b/src/libflow/agentselector.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "libflow/flowclass.h"
 #include "libsite/routesettings.h"
 
 namespace fireflytrestle {
@@ -42,13 +43,14 @@
 };
 
 AgentSummary Summarize(const std::vector<AgentPeerPtr>& agents,
+                       std::uint8_t priority,
                        const std::string& own_zone,
                        TimePoint now) {
   AgentSummary summary;
   double sum = 0.0;
   int count = 0;
   for (const AgentPeerPtr& agent : agents) {
-    if (!agent->IsPreferred(now)) {
+    if (!agent->IsPreferred(priority, now)) {
       continue;
     }
     summary.own_zone_agents += agent->zone() == own_zone ? 1 : 0;
@@ -90,11 +92,13 @@
 
 AgentPeerPtr SelectAgent(const std::vector<AgentPeerPtr>& agents,
                          const FlowTuple& tuple,
-                         bool long_lived,
+                         const FlowClass& flow_class,
                          std::span<const AgentPeerPtr> tried,
                          const std::string& own_zone,
                          TimePoint now) {
-  const AgentSummary summary = Summarize(agents, own_zone, now);
+  const bool long_lived = flow_class.long_lived;
+  const AgentSummary summary =
+      Summarize(agents, flow_class.priority, own_zone, now);
   const bool stays_in_zone =
       long_lived && summary.own_zone_agents >= kMinOwnZoneAgents;
   const AgentPeerPtr* best = nullptr;
@@ -120,7 +124,8 @@
                              : load + kOtherZoneLoad;
       }
     }
-    const auto rank = std::make_pair(!agent->IsPreferred(now), load);
+    const auto rank =
+        std::make_pair(!agent->IsPreferred(flow_class.priority, now), load);
     if (best != nullptr && best_rank < rank) {
       continue;
     }
--- a/src/libflow/agentselector.h
+++ b/src/libflow/agentselector.h
@@ -9,6 +9,7 @@
 
 namespace fireflytrestle {
 
+struct FlowClass;
 struct RouteSettings;
 
 /// Returns the service of \p route for the flow, the same for every packet of
@@ -26,7 +27,7 @@
 /// considerably more. The flow's hash decides between equal agents.
 AgentPeerPtr SelectAgent(const std::vector<AgentPeerPtr>& agents,
                          const FlowTuple& tuple,
-                         bool long_lived,
+                         const FlowClass& flow_class,
                          std::span<const AgentPeerPtr> tried,
                          const std::string& own_zone,
                          TimePoint now);
--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -208,7 +208,9 @@
     return;
   }
   Report(entry->placements == 0 ? Kind::kPlaced : Kind::kPlacedAgain, tuple,
-         agent.get(), agent->IsPreferred(now) ? "least_load" : "last_resort",
+         agent.get(),
+         agent->IsPreferred(entry->flow_class.priority, now) ? "least_load"
+                                                             : "last_resort",
          now);
   ++entry->placements;
   entry->state = State::kOpening;
@@ -226,11 +228,11 @@
   std::vector<AgentPeerPtr> tried = entry.refused_by;
   tried.insert(tried.end(), entry.pending_agents.begin(),
                entry.pending_agents.end());
-  const bool long_lived = entry.flow_class.long_lived;
+  const FlowClass& flow_class = entry.flow_class;
   AgentPeerPtr agent = SelectAgent(m_subscriptions.ForService(service), tuple,
-                                   long_lived, tried, m_settings.zone, now);
-  if (!agent || !agent->IsPreferred(now)) {
-    agent = SelectAgent(m_agents.ForService(service), tuple, long_lived, tried,
+                                   flow_class, tried, m_settings.zone, now);
+  if (!agent || !agent->IsPreferred(flow_class.priority, now)) {
+    agent = SelectAgent(m_agents.ForService(service), tuple, flow_class, tried,
                         m_settings.zone, now);
   }
   return agent;
@@ -847,7 +849,10 @@
   }
   const FlowTuple tuple{packet->source, packet->destination};
   Report(Kind::kReturned, tuple, agent.get(), ToString(message.reason), now);
-  agent->OnSynReturned(message.reason, now);
+  const auto route = m_view->routes.find(tuple.route);
+  const std::uint8_t priority =
+      route == m_view->routes.end() ? kDefaultPriority : route->second.priority;
+  agent->OnSynReturned(message.reason, priority, now);
   FlowEntry* entry = m_flows.Find(tuple);
   if (entry == nullptr || entry->owner != agent ||
       entry->state != State::kOpening ||
--- a/tests/libflow/sheddingtest.cpp
+++ b/tests/libflow/sheddingtest.cpp
@@ -64,6 +64,30 @@
   CHECK(site.resets.empty());
 }
 
+// Guards against an urgent flow that goes to agents of other zones, whose load
+// is not known, since the near ones have refused flows of low priority.
+TEST_CASE("a full queue of low priority does not divert urgent flows") {
+  FlowSite site(1, 2, 2, {1, 1});
+  site.view.routes.at(FlowSite::kRoute).priority = 5;
+  site.view.routes.at(FlowSite::kNonIdempotentRoute).priority = 0;
+  ++site.view.configuration_version;
+  site.Publish();
+  std::uint32_t caller = 0;
+  while (site.Decisions("open_returned upstream_full") < 4 && caller < 500) {
+    site.Open(0, FlowSite::Tuple(++caller));
+  }
+  REQUIRE(caller < 500);
+  site.decisions.clear();
+  const FlowTuple order =
+      FlowSite::Tuple(++caller, FlowSite::kNonIdempotentRoute);
+  site.Open(0, order);
+  CHECK(site.Decisions("flow_placed least_load") == 1);
+  site.Open(0, FlowSite::Tuple(++caller));
+  CHECK(site.Decisions("flow_placed last_resort") == 1);
+  site.Run(milliseconds(200));
+  CHECK(site.AnswersTo(order) == 1);
+}
+
 // Guards against a metric of the expected wait that tells operators nothing.
 TEST_CASE(
     "the expected wait of a queue of one class is close to the real one") {
--- a/tests/libflow/upstreamloadtest.cpp
+++ b/tests/libflow/upstreamloadtest.cpp
@@ -164,8 +164,9 @@
 
   /// Returns the number of the selected agent.
   std::size_t Select(std::uint32_t caller, bool long_lived) const {
-    const AgentPeerPtr agent = SelectAgent(agents, FlowSite::Tuple(caller),
-                                           long_lived, {}, "a", clock.Now());
+    const AgentPeerPtr agent =
+        SelectAgent(agents, FlowSite::Tuple(caller),
+                    long_lived ? kLong : kShort, {}, "a", clock.Now());
     return static_cast<std::size_t>(
         std::find(agents.begin(), agents.end(), agent) - agents.begin());
   }
