Ask again only agents whose upstreams are new

An agent that got no handover says so no longer 3.5 s after its start, although it knows nothing more.

Only agents whose upstreams are in their cold start are asked again: such an agent has learnt that its upstream is new.

--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -1037,7 +1037,9 @@
   }
   if (status.needs_handover) {
     ReturnFlows(agent, status, is_new_run);
-  } else if (was_unsure) {
+  } else if (was_unsure && agent->IsCold(now)) {
+    // Its upstream is new. Another agent only waits no longer for a handover,
+    // and knows as little as before.
     AskAgain(agent, now);
   }
   if (phase != status.phase) {
