Ask other balancers before upstreams are probed for a flow

After all agents had been killed, callers of flows that another balancer knew got no answer, and their packets went to two other upstreams; and two balancers in turn sent packets of an open flow to four, within 2 s, if the agents that had returned the first two had started again in between (planned work). Cause: a balancer asked the others only before it would reset a flow, and each counted its own probes.

It now asks them before it probes. A balancer that knows the owner names it, and the packet goes there first; one that has probed says so, and no more upstreams are probed. The two new tests failed before: 2 packets at others and 1 answer of 2, and 4 packets at others.

--- a/src/libflow/flowrouter.cpp
+++ b/src/libflow/flowrouter.cpp
@@ -612,6 +612,17 @@
   const bool is_limited = !is_outage && unsure.size() > 1;
   const auto first_unprobed =
       std::partition(unsure.begin(), unsure.end(), is_probed);
+  const auto unprobed = static_cast<std::size_t>(unsure.end() - first_unprobed);
+  const std::size_t max_strays =
+      kMaxStrayProbes - std::min(kMaxStrayProbes, entry->stray_arrivals);
+  const std::size_t max_probed =
+      max_strays + (probed.size() + unprobed <= max_strays + 1 ? 1 : 0);
+  if (is_limited &&
+      (unprobed == 0 || probed.size() >= max_probed ||
+       // Other balancers may know the owner, or have probed agents as well.
+       !HavePeersConfirmedLoss(tuple, entry, now))) {
+    return;
+  }
   // Balancers that search for the same flow at the same time probe the same
   // agents.
   std::sort(first_unprobed, unsure.end(),
@@ -619,11 +630,6 @@
               return HashTuple({tuple.caller, a->address()}) <
                      HashTuple({tuple.caller, b->address()});
             });
-  const auto unprobed = static_cast<std::size_t>(unsure.end() - first_unprobed);
-  const std::size_t max_strays =
-      kMaxStrayProbes - std::min(kMaxStrayProbes, entry->stray_arrivals);
-  const std::size_t max_probed =
-      max_strays + (probed.size() + unprobed <= max_strays + 1 ? 1 : 0);
   const std::size_t bytes = entry->search_packet.size() + kDeliverOverheadBytes;
   std::erase_if(unsure, [&](const AgentPeerPtr& agent) {
     if ((is_limited && (is_probed(agent) || probed.size() >= max_probed)) ||
@@ -880,11 +886,16 @@
                                TimePoint now) {
   const FlowTuple tuple = message.tuple;
   const AgentPeerPtr agent = m_agents.Find(source);
+  FlowEntry* entry = m_flows.Find(tuple);
   if (!agent) {
+    if (message.has_packet && entry != nullptr) {
+      // Packets that the other balancer has sent reach their number together
+      // with those from here.
+      entry->stray_arrivals = std::max(entry->stray_arrivals, kMaxStrayProbes);
+    }
     OnPeerWithoutOwner(source, tuple, now);
     return;
   }
-  FlowEntry* entry = m_flows.Find(tuple);
   if (entry == nullptr) {
     return;
   }
@@ -922,7 +933,9 @@
     m_output->SendToNode(
         source, FlowOwnerMessage{query.tuple, entry->owner->address()});
   } else {
-    m_output->SendToNode(source, FlowUnknownMessage{query.tuple});
+    const bool has_probed = entry != nullptr && !entry->probed_agents.empty();
+    m_output->SendToNode(source,
+                         FlowUnknownMessage{query.tuple, true, has_probed});
   }
 }
 
@@ -958,6 +971,13 @@
                          FlowQuery{tuple, entry->acknowledgment});
     return;
   }
+  if (Remove(&entry->unsure_agents, agent) && !entry->search_packet.empty()) {
+    entry->probed_agents.push_back(agent);
+    entry->pending_agents.push_back(agent);
+    Report(Kind::kProbed, tuple, agent.get(), "owner_named", now);
+    SendSearchPacket(agent, entry);
+    return;
+  }
   // The agent itself knows better than another balancer.
   const auto& pending = entry->pending_agents;
   const bool has_answered =
--- a/tests/libflow/straypackettest.cpp
+++ b/tests/libflow/straypackettest.cpp
@@ -329,6 +329,51 @@
   CHECK(log.MostStrayPackets(tuple) < StrayPacketLog::kMinStrayPackets);
 }
 
+// Guards against probes of other upstreams while another balancer can name the
+// owner, whose agent does not know that its upstream holds the flow.
+TEST_CASE("an agent that another balancer names gets the packet first") {
+  FlowSite site(2, 11);
+  const StrayPacketLog log(&site);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  REQUIRE(OpenAndReport(&site, tuple) != nullptr);
+  // The new runs of the agents get no flows back.
+  site.is_lost = [&](const SocketAddress& from, const SocketAddress&) {
+    return from.port == FlowSite::kNodePort;
+  };
+  for (std::size_t i = 0; i < site.agents.size(); ++i) {
+    site.StartAgent(i);
+  }
+  site.Run(milliseconds(200));
+  site.is_lost = nullptr;
+  site.StartBalancer(1);
+  site.Publish();
+  site.Run(FlowKnowledge::kRecoveryTime);
+  site.SendRequest(1, tuple, 2);
+  site.Run(milliseconds(300));
+  CHECK(log.MostStrayPackets(tuple) == 0);
+  CHECK(site.AnswersTo(tuple) == 2);
+}
+
+// Guards against FLOW (b): agents that have returned a packet of the flow start
+// again, so that only the balancer that has sent it knows of it.
+TEST_CASE("a balancer probes no upstreams after another one has") {
+  FlowSite site(2, 11);
+  const StrayPacketLog log(&site);
+  const FlowTuple tuple = FlowSite::Tuple(1);
+  REQUIRE(OpenAndReport(&site, tuple) != nullptr);
+  ForgetAllFlows(&site);
+  site.SendRequest(0, tuple, 2);
+  site.Run(milliseconds(200));
+  REQUIRE(site.Decisions("flow_probed owner_unknown") > 0);
+  for (std::size_t i = 0; i < site.agents.size(); ++i) {
+    site.StartAgent(i);
+  }
+  site.Run(milliseconds(200));
+  site.SendRequest(1, tuple, 2);
+  site.Run(StrayPacketLog::kFlowTime);
+  CHECK(log.MostStrayPackets(tuple) < StrayPacketLog::kMinStrayPackets);
+}
+
 // Guards against FLOW (b): copies of a FIN reach an upstream that does not hold
 // the flow again and again. The users' bench reports it on days on which agents
 // are removed as planned.
