--- a/src/libflow/agentpeer.h
+++ b/src/libflow/agentpeer.h
@@ -206,10 +206,11 @@
   /// Opening time of the oldest open flow, according to the last report.
   TimePoint m_oldest_flow{};
   bool m_silent = false;
-  TimePoint m_backoff_until{};
-  /// The upstream was full for flows of \ref m_full_priority and lower ones.
-  TimePoint m_full_until{};
+  /// Until \ref m_full_until the upstream counts as full for flows of this
+  /// priority and lower ones.
   std::uint8_t m_full_priority = 0;
+  TimePoint m_full_until{};
+  TimePoint m_backoff_until{};
   /// Flows sent to the agent since its last report.
   std::uint32_t m_placed_short = 0;
   std::uint32_t m_placed_long = 0;
