--- a/src/libflow/flowrouter.h
+++ b/src/libflow/flowrouter.h
@@ -151,7 +151,8 @@
   /// Whether an answer of the agent need not be waited for.
   bool IsLost(const AgentPeer& agent, TimePoint now) const;
   /// Sends the packet to unsure agents, if no other agent's upstream may hold
-  /// the flow and few enough upstreams get it that do not.
+  /// the flow, the other balancers have been asked for the owner, and few
+  /// enough upstreams get it that do not hold the flow.
   void ProbeUnsureAgents(const FlowTuple& tuple,
                          FlowEntry* entry,
                          TimePoint now);
