--- a/tests/libflow/orphanedflowstest.cpp
+++ b/tests/libflow/orphanedflowstest.cpp
@@ -283,6 +283,21 @@
   CHECK(site.ResetsOf(tuple) == 1);
 }
 
+// Guards against FLOW (b): all balancers ask an agent again at the same moment,
+// and probe upstreams, although it knows no more than before.
+TEST_CASE(
+    "agents that only wait no longer for a handover are not asked again") {
+  FlowSite site(2, 4);
+  RestartProcesses(&site, site.agents.size());
+  site.Run(milliseconds(50));
+  SendOrphanedPacket(&site);
+  site.Run(milliseconds(500));
+  const std::size_t queried = site.agents_queried;
+  REQUIRE(queried >= site.agents.size());
+  site.Run(milliseconds(4000));
+  CHECK(site.agents_queried == queried);
+}
+
 // Guards against callers who wait for 500 ms because the first searches of a
 // recovery, whose result the others wait for, have all found an owner.
 TEST_CASE("pattern: searches that find an owner make room for others") {
