Case 6: planned restarts on a quiet site reset the flows of an agent that is away

Cause: a balancer that starts takes all flows for lost once eight have no owner, no agent reports an old open flow, and no balancer has run for longer. On a site whose clients pause, planned restarts leave just that, and an agent that is being restarted counts as one that has answered.

--- a/review/standin-2/site.cpp
+++ b/review/standin-2/site.cpp
@@ -363,6 +363,20 @@
                  " starts, born " + std::to_string(m_born));
 }
 
+void Target::End() {
+  m_site->Record("target of machine " + std::to_string(m_number) + " ends");
+  close(m_udp);
+  close(m_tcp);
+  for (const int fd : m_checks) {
+    close(fd);
+  }
+  m_checks.clear();
+  m_udp = -1;
+  m_tcp = -1;
+  m_flows.clear();
+  m_jobs.clear();
+}
+
 std::string Target::Entry(bool draining) const {
   return R"({"service":")" + m_service + R"(","address":")" + Text(m_app) +
          R"(","zone":")" + m_zone +
@@ -690,6 +704,11 @@
          (draining ? ": draining" : ": ready"));
 }
 
+void Site::RemoveEntry(std::size_t machine) {
+  m_store->Remove("servers/" + m_machines[machine]->target->m_id);
+  Record("entry of machine " + std::to_string(machine) + " is removed");
+}
+
 void Site::PutConfiguration(int version) {
   const std::string host = Text(route).substr(0, Text(route).find(':'));
   m_store->Put("op/config",
--- a/review/standin-2/site.h
+++ b/review/standin-2/site.h
@@ -118,6 +118,8 @@
   Target(Site* site, std::size_t number, std::string service, std::string zone);
   ~Target();
   void Start();
+  /// Ends the process: its flows are lost, and nothing listens any more.
+  void End();
   void Step();
   bool Holds(const Tuple& tuple) const;
   std::size_t open_flows() const;
@@ -210,6 +212,7 @@
   void StartBalancer(std::size_t number);
   void StartAgent(std::size_t number, bool first_start);
   void PutEntry(std::size_t machine, bool draining = false);
+  void RemoveEntry(std::size_t machine);
   void PutConfiguration(int version);
   void Signal(Process* process, int signal);
   /// Runs the stand-ins until the process has ended; false after 8 s.
