--- a/review/standin-2/site.cpp
+++ b/review/standin-2/site.cpp
@@ -69,6 +69,15 @@
   return fd;
 }
 
+bool IsFree(int type, const Address& address) {
+  const int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+  const sockaddr_in raw = Raw(address);
+  const bool is_free =
+      bind(fd, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw)) == 0;
+  close(fd);
+  return is_free;
+}
+
 void SendTo(int fd, const Address& to, const std::string& bytes) {
   const sockaddr_in raw = Raw(to);
   [[maybe_unused]] const ssize_t sent =
@@ -556,7 +565,18 @@
   signal(SIGPIPE, SIG_IGN);
   m_net = 127U << 24 | (20 + Random() % 200) << 16;
   // Ports below the range that the system gives to connections.
-  const auto first = static_cast<std::uint16_t>(12000 + Random() % 15000);
+  constexpr std::uint16_t kPorts = 6;
+  std::uint16_t first = 0;
+  bool are_free = false;
+  for (int tries = 0; tries < 100 && !are_free; ++tries) {
+    first = static_cast<std::uint16_t>(12000 + Random() % 15000);
+    are_free = true;
+    for (std::uint16_t i = 0; i < kPorts; ++i) {
+      const Address address = At(1, 0, static_cast<std::uint16_t>(first + i));
+      are_free = are_free && IsFree(SOCK_STREAM, address) &&
+                 IsFree(SOCK_DGRAM, address);
+    }
+  }
   port_packet = first;
   port_node = static_cast<std::uint16_t>(first + 1);
   port_admin = static_cast<std::uint16_t>(first + 2);
